--- /dev/null
+++ b/cmd/jayloft/main.go
@@ -0,0 +1,4 @@
+// Command jayloft schedules urgent services and batch jobs on a few VMs.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/event.go
@@ -0,0 +1,353 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"jayloft/table"
+)
+
+// EntryEvent is something that an entry's reducer learns.
+type EntryEvent interface{ entryEvent() }
+
+// Tick says that time has passed; both reducers take it. It comes at the time
+// of the last Wake effect, or earlier.
+type Tick struct{}
+
+// BeatHeard is an agent's heartbeat. It is answered with a BeatReply.
+type BeatHeard struct {
+	Token Token
+	Beat  Beat
+}
+
+// RequestArrived is a caller's request. It is answered with an Answer.
+type RequestArrived struct {
+	Request Request
+}
+
+// RequestGone says that a caller no longer waits for its answer.
+type RequestGone struct {
+	ID RequestID
+}
+
+// ServeAnswered is an agent's answer to a Serve, or the failure to get one.
+type ServeAnswered struct {
+	Call   Token
+	Answer ServeAnswer
+	Fault  Fault
+}
+
+// RevokeAnswered is an agent's answer to a Revoke.
+type RevokeAnswered struct {
+	Call   Token
+	State  RevokeState
+	Answer ServeAnswer // with RevokeResult
+	Fault  Fault
+}
+
+// CommitAnswered is the table's answer to a Commit.
+type CommitAnswered struct {
+	Token  Token
+	Result table.Result
+	Fault  Fault
+}
+
+// ChangesAnswered is the table's answer to a ReadChanges.
+type ChangesAnswered struct {
+	Token Token
+	View  table.View
+	Fault Fault
+}
+
+// RowsAnswered is the table's answer to a ReadRows.
+type RowsAnswered struct {
+	Token Token
+	View  table.View
+	Fault Fault
+}
+
+// StartAnswered is an agent's answer to a Start.
+type StartAnswered struct {
+	Token   Token
+	Started bool
+	Reason  Reason
+	Fault   Fault
+}
+
+// SettleAnswered is an agent's answer to a Settle.
+type SettleAnswered struct {
+	Token Token
+	State SettleState
+	Fault Fault
+}
+
+// HearAsked is another entry's question which workers this one has heard. It
+// is answered with a HearReply.
+type HearAsked struct {
+	Token   Token
+	Workers []WorkerID
+}
+
+// HearAnswered is another entry's answer to a Hear.
+type HearAnswered struct {
+	Token Token
+	Heard []WorkerID
+	Fault Fault
+}
+
+// CommandAsked is an operator's command. It is answered with a CommandReply.
+type CommandAsked struct {
+	Token   Token
+	ID      string
+	Text    string // the statement as written
+	Command Command
+}
+
+// Leave asks a process to stop gracefully; both reducers take it. Its end is
+// an Exit effect.
+type Leave struct {
+	By time.Time
+}
+
+func (Tick) entryEvent()            {}
+func (BeatHeard) entryEvent()       {}
+func (RequestArrived) entryEvent()  {}
+func (RequestGone) entryEvent()     {}
+func (ServeAnswered) entryEvent()   {}
+func (RevokeAnswered) entryEvent()  {}
+func (CommitAnswered) entryEvent()  {}
+func (ChangesAnswered) entryEvent() {}
+func (RowsAnswered) entryEvent()    {}
+func (StartAnswered) entryEvent()   {}
+func (SettleAnswered) entryEvent()  {}
+func (HearAsked) entryEvent()       {}
+func (HearAnswered) entryEvent()    {}
+func (CommandAsked) entryEvent()    {}
+func (Leave) entryEvent()           {}
+
+// Fault says how a call to another process failed.
+type Fault uint8
+
+// The kinds of faults.
+const (
+	FaultNone    Fault = iota
+	FaultNotSent       // the call never left this process
+	FaultCut           // sent, no answer: it may or may not have taken effect
+)
+
+// Beat is what an agent says about its VM.
+type Beat struct {
+	Worker    WorkerID
+	Inc       Incarnation
+	Run       Run
+	Addr      netip.AddrPort
+	DC        DC
+	Rack      Rack
+	Sent      time.Time // agent's clock
+	Capacity  Size
+	Committed Size
+	Used      Size // measured, late
+	Slots     int
+	Services  []ServiceLoad
+	Running   []Attempt
+	Ends      []End
+	Config    uint64 // version in force at the agent
+	Leaving   bool
+}
+
+// ServiceLoad is how busy a VM's endpoint is with one service.
+type ServiceLoad struct {
+	Service string
+	Running int
+	Queued  int
+}
+
+// BeatAnswer is what an entry answers to a beat.
+type BeatAnswer struct {
+	// Echo is the last Beat.Sent of this incarnation that the entry had
+	// received before it began its last successful read of the table. Zero
+	// if there is none.
+	Echo     time.Time
+	Fenced   bool
+	Config   uint64
+	Rows     []table.Row // changed configuration
+	Full     bool        // Rows is the whole configuration
+	Recorded []Attempt   // ends that are known to be in the table
+	Moved    []Attempt   // attempts whose claim is no longer theirs
+	Entries  []netip.AddrPort
+}
+
+// Request is a caller's request.
+type Request struct {
+	ID         RequestID
+	Service    string
+	Team       Team
+	Body       []byte
+	Deadline   time.Time // zero: the service's timeout from now
+	Idempotent bool      // by the caller's word; the service's row may say so too
+}
+
+// ServeAnswer is an agent's answer to a request.
+type ServeAnswer struct {
+	ID      RequestID
+	Outcome Outcome
+	Reason  Reason
+	Text    string // of a failure
+	Body    []byte
+	Wait    time.Duration // expected until a slot is free
+	Queued  int
+	Running int
+}
+
+// RevokeState is what an agent says of a request taken back.
+type RevokeState string
+
+// The states of a revoked request.
+const (
+	RevokeNever   RevokeState = "never"   // not run and never will be
+	RevokeRunning RevokeState = "running" // still running; ask again
+	RevokeResult  RevokeState = "result"  // has run; here is the answer
+	RevokeUnknown RevokeState = "unknown" // the agent has forgotten
+)
+
+// SettleState is what an agent says of an attempt.
+type SettleState string
+
+// The states of an attempt asked about.
+const (
+	SettleRunning SettleState = "running"
+	SettleEnded   SettleState = "ended"   // its end comes with the beats
+	SettleNever   SettleState = "never"   // not started and never will be
+	SettleForeign SettleState = "foreign" // of another incarnation
+)
+
+// Order is an order to start an attempt.
+type Order struct {
+	Attempt Attempt
+	Holder  Holder
+	Echo    time.Time // agent's clock, see BeatAnswer.Echo
+	Team    Team
+	Class   string
+	Size    Size
+	Urgent  bool
+	Input   string
+}
+
+// AgentEvent is something that an agent's reducer learns.
+type AgentEvent interface{ agentEvent() }
+
+// Inspected is the worker's account of itself.
+type Inspected struct {
+	Fault    Fault
+	Boot     string
+	Capacity Size
+	Slots    int
+	Services []string
+	Tasks    []WorkerTask
+}
+
+// WorkerTask is one task as its worker sees it.
+type WorkerTask struct {
+	Attempt      Attempt
+	Inc          Incarnation
+	Class        string
+	Size         Size
+	Used         Size
+	Urgent       bool
+	State        WorkerState
+	End          End // with WorkerEnded
+	Started      time.Time
+	Checkpointed time.Time
+}
+
+// WorkerState is the state of a task at its worker.
+type WorkerState string
+
+// The states of a task at its worker.
+const (
+	WorkerRunning WorkerState = "running"
+	WorkerPaused  WorkerState = "paused" // its deadline has passed
+	WorkerEnded   WorkerState = "ended"
+)
+
+// BeatAnswered is an entry's answer to a beat. Sent is the beat's own.
+type BeatAnswered struct {
+	Entry  netip.AddrPort
+	Sent   time.Time
+	Answer BeatAnswer
+	Fault  Fault
+}
+
+// StartAsked is an entry's order. It is answered with a StartReply.
+type StartAsked struct {
+	Token Token
+	Order Order
+}
+
+// StopAsked is an entry's order to stop an attempt.
+type StopAsked struct {
+	Attempt Attempt
+	Inc     Incarnation
+	Kind    EndKind // EndEvicted or EndCancelled
+	Reason  string
+}
+
+// SettleAsked asks about an attempt. It is answered with a SettleReply.
+type SettleAsked struct {
+	Token   Token
+	Attempt Attempt
+	Inc     Incarnation
+}
+
+// ServeAsked is a request from an entry. It is answered with a ServeReply.
+type ServeAsked struct {
+	Token   Token
+	Inc     Incarnation
+	Run     Run
+	Request Request // its deadline on the agent's clock
+}
+
+// RevokeAsked takes a request back. It is answered with a RevokeReply.
+type RevokeAsked struct {
+	Token Token
+	ID    RequestID
+	Run   Run
+}
+
+// Launched is the worker's answer to a Launch.
+type Launched struct {
+	Attempt Attempt
+	Started bool
+	Reason  string
+	Fault   Fault
+}
+
+// Controlled is the worker's answer to a Control.
+type Controlled struct {
+	Attempt Attempt
+	Verb    Verb
+	Done    bool
+	Fault   Fault
+}
+
+// Called is the endpoint's answer to a Call.
+type Called struct {
+	ID    RequestID
+	OK    bool
+	Body  []byte
+	Text  string
+	Fault Fault
+}
+
+func (Tick) agentEvent()         {}
+func (Inspected) agentEvent()    {}
+func (BeatAnswered) agentEvent() {}
+func (StartAsked) agentEvent()   {}
+func (StopAsked) agentEvent()    {}
+func (SettleAsked) agentEvent()  {}
+func (ServeAsked) agentEvent()   {}
+func (RevokeAsked) agentEvent()  {}
+func (Launched) agentEvent()     {}
+func (Controlled) agentEvent()   {}
+func (Called) agentEvent()       {}
+func (Leave) agentEvent()        {}
--- /dev/null
+++ b/core/policy.go
@@ -0,0 +1,146 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Policy holds the numbers that both reducers decide by. The zero value is
+// not of use: start from DefaultPolicy.
+type Policy struct {
+	// Permit is the oldest view of the table that a start order may rest on.
+	Permit time.Duration
+	// Lease is how long an agent runs tasks on after the newest echo.
+	Lease time.Duration
+	// Drift is the margin for clocks that run at different rates, added to
+	// the wait for a lease to lapse.
+	Drift time.Duration
+	// BeatEvery is the time between an agent's beats to one entry.
+	BeatEvery time.Duration
+	// InspectEvery is the time between an agent's looks at its worker.
+	InspectEvery time.Duration
+	// ReadEvery is the time between an entry's reads of the configuration.
+	ReadEvery time.Duration
+	// Silent is how long an entry waits for a beat before it sends nothing
+	// new to a worker.
+	Silent time.Duration
+	// Suspect is how long an entry waits for a beat before it asks others
+	// and fences the worker.
+	Suspect time.Duration
+	// EntryDead is how long an entry's row may stay unchanged.
+	EntryDead time.Duration
+	// FencesEvery is the least time between two fences of silent workers by
+	// one entry.
+	FencesEvery time.Duration
+	// SettleAfter is how long a claim may go unheard of before its agent is
+	// asked about it.
+	SettleAfter time.Duration
+	// CheckpointEvery is the time between checkpoints of a task.
+	CheckpointEvery time.Duration
+	// QueuePerSlot is how many requests an agent queues for each slot.
+	QueuePerSlot float64
+	// RetryShare is the share of fresh requests that may be tried again.
+	RetryShare float64
+	// HedgeShare is the share of fresh requests that may be hedged.
+	HedgeShare float64
+	// HedgeQuantile is the quantile of latency after which a request is hedged.
+	HedgeQuantile float64
+	// ParkFailures is the number of distinct workers a task may fail on.
+	ParkFailures int
+	// WritesPerSecond bounds an entry's transactions, ReadsPerSecond its reads.
+	WritesPerSecond, ReadsPerSecond float64
+	// TxnRows bounds the rows that one transaction writes.
+	TxnRows int
+	// RampFor is how long a returned data centre takes to reach its full share.
+	RampFor time.Duration
+
+	off guard
+}
+
+// DefaultPolicy returns the policy that jayloft runs with unless settings say
+// otherwise.
+func DefaultPolicy() Policy {
+	return Policy{
+		Permit:          2 * time.Second,
+		Lease:           15 * time.Second,
+		Drift:           500 * time.Millisecond,
+		BeatEvery:       500 * time.Millisecond,
+		InspectEvery:    500 * time.Millisecond,
+		ReadEvery:       500 * time.Millisecond,
+		Silent:          1500 * time.Millisecond,
+		Suspect:         4 * time.Second,
+		EntryDead:       6 * time.Second,
+		FencesEvery:     200 * time.Millisecond,
+		SettleAfter:     3 * time.Second,
+		CheckpointEvery: 10 * time.Second,
+		QueuePerSlot:    1,
+		RetryShare:      0.1,
+		HedgeShare:      0.05,
+		HedgeQuantile:   0.99,
+		ParkFailures:    3,
+		WritesPerSecond: 60,
+		ReadsPerSecond:  300,
+		TxnRows:         200,
+		RampFor:         10 * time.Second,
+	}
+}
+
+// Option changes how a reducer is built.
+type Option func(*Policy)
+
+// WithPolicy replaces the whole policy.
+func WithPolicy(p Policy) Option { return func(q *Policy) { *q = p } }
+
+// WithLease sets Policy.Lease.
+func WithLease(d time.Duration) Option { return func(p *Policy) { p.Lease = d } }
+
+// WithPermit sets Policy.Permit.
+func WithPermit(d time.Duration) Option { return func(p *Policy) { p.Permit = d } }
+
+func newPolicy(opts []Option) Policy {
+	p := DefaultPolicy()
+	for _, o := range opts {
+		o(&p)
+	}
+	return p
+}
+
+// EntrySite is where an entry stands.
+type EntrySite struct {
+	ID   EntryID        // of this life of the process
+	Addr netip.AddrPort // of its EntryService, as the others reach it
+}
+
+// AgentSite is where an agent stands.
+type AgentSite struct {
+	Worker  WorkerID
+	DC      DC
+	Rack    Rack
+	Addr    netip.AddrPort   // of its AgentService
+	Entries []netip.AddrPort // to start from
+	Run     Run              // this life of the process
+}
+
+// guard names one protection. Tests switch single ones off to show that the
+// fuzzing would notice.
+type guard uint32
+
+const (
+	guardPermit      guard = 1 << iota // agent: start orders expire
+	guardFenceWait                     // entry: wait out the lease before claims move
+	guardLease                         // agent: tasks pause when the lease lapses
+	guardAdmission                     // agent: nothing beyond the VM's size
+	guardAttempt                       // entry: only the current attempt's end counts
+	guardDedupe                        // agent: a request id is admitted once
+	guardTombstone                     // agent: an attempt declared never started stays so
+	guardReadback                      // entry: a lost answer is resolved by reading back
+	guardConfig                        // both: the configuration never goes back
+	guardOp                            // entry: a command id takes effect once
+	guardIncarnation                   // agent: orders for another life are refused
+	guardClaimDC                       // entry: a claim checks the data centre's row
+	guardClaimFence                    // entry: a claim checks the fence row
+	guardAmbiguous                     // entry: a non-idempotent request is not sent twice
+)
+
+// on reports whether the protection is in force.
+func (p *Policy) on(g guard) bool { return p.off&g == 0 }
--- /dev/null
+++ b/core/rows.go
@@ -0,0 +1,244 @@
+package core
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Prefixes of the table's keys.
+const (
+	PrefixConfig = "config/"
+	PrefixEntry  = "entry/"
+	PrefixJob    = "job/"
+	PrefixFence  = "fence/"
+	PrefixOp     = "op/"
+
+	// KeyVersion is the row that every change of configuration raises.
+	KeyVersion = PrefixConfig + "version"
+)
+
+// Shards is the number of shards that jobs are spread over.
+const Shards = 32
+
+// MaxTasks is the largest number of tasks in one job.
+const MaxTasks = 256
+
+// ServiceRow configures a service that callers send requests to.
+type ServiceRow struct {
+	Name       string        `cbor:"1,keyasint"`
+	Team       Team          `cbor:"2,keyasint,omitempty"`
+	Idempotent bool          `cbor:"3,keyasint,omitempty"`
+	Timeout    time.Duration `cbor:"4,keyasint,omitempty"` // the longest deadline; the default too
+	Size       Size          `cbor:"5,keyasint,omitempty"` // reserved on each VM that serves it
+}
+
+// DCRow configures a data centre.
+type DCRow struct {
+	Name DC   `cbor:"1,keyasint"`
+	Out  bool `cbor:"2,keyasint,omitempty"`
+	// By is when the work there has to be gone, on the clock of the entry
+	// that took the command.
+	By time.Time `cbor:"3,keyasint,omitzero"`
+	// Since is when the row was written, for ramping up after a return.
+	Since time.Time `cbor:"4,keyasint,omitzero"`
+}
+
+// TeamRow configures a team's quota.
+type TeamRow struct {
+	Name Team `cbor:"1,keyasint"`
+	// Quota is the most that the team's batch tasks may hold; zero fields
+	// are unlimited.
+	Quota Size `cbor:"2,keyasint,omitempty"`
+	// Weight is the team's share of requests under overload; zero means 1.
+	Weight int `cbor:"3,keyasint,omitempty"`
+}
+
+// PolicyRow holds one named number of policy, set by `set`.
+type PolicyRow struct {
+	Name  string  `cbor:"1,keyasint"`
+	Value float64 `cbor:"2,keyasint"`
+}
+
+// VersionRow counts the changes of configuration.
+type VersionRow struct {
+	N uint64 `cbor:"1,keyasint"`
+}
+
+// EntryRow announces a live entry to the others. It is written anew every
+// few seconds, so a reader takes one that no longer changes for dead.
+type EntryRow struct {
+	ID   EntryID `cbor:"1,keyasint"`
+	Addr string  `cbor:"2,keyasint"` // of EntryService
+	Beat uint64  `cbor:"3,keyasint"`
+}
+
+// FenceRow lists lives of a worker whose claims were or will be moved.
+type FenceRow struct {
+	Worker WorkerID      `cbor:"1,keyasint"`
+	Fenced []Incarnation `cbor:"2,keyasint"`
+}
+
+// Has reports whether the incarnation is fenced.
+func (f FenceRow) Has(inc Incarnation) bool {
+	for _, x := range f.Fenced {
+		if x == inc {
+			return true
+		}
+	}
+	return false
+}
+
+// TaskState is where a task stands in the table.
+type TaskState uint8
+
+// The states of a task. All from TaskDone on are final.
+const (
+	TaskWaiting TaskState = iota
+	TaskClaimed           // held by an incarnation, which may have started it
+	TaskDone
+	TaskFailed    // parked: failed on several workers, or can never run
+	TaskCancelled // by an operator
+	TaskUnknown   // may have run; an operator decides
+)
+
+// String returns the state's name as operators see it.
+func (s TaskState) String() string {
+	switch s {
+	case TaskWaiting:
+		return "waiting"
+	case TaskClaimed:
+		return "running"
+	case TaskDone:
+		return "done"
+	case TaskFailed:
+		return "failed"
+	case TaskCancelled:
+		return "cancelled"
+	case TaskUnknown:
+		return "unknown"
+	}
+	return fmt.Sprintf("state %d", uint8(s))
+}
+
+// Final reports whether the task has ended for good.
+func (s TaskState) Final() bool { return s >= TaskDone }
+
+// TaskRow is one task within its job's row.
+type TaskRow struct {
+	State   TaskState `cbor:"1,keyasint,omitempty"`
+	Attempt uint32    `cbor:"2,keyasint,omitempty"` // of the last claim
+	Holder  Holder    `cbor:"3,keyasint,omitempty"`
+	Output  string    `cbor:"4,keyasint,omitempty"`
+	Reason  string    `cbor:"5,keyasint,omitempty"`
+	// FailedOn lists distinct workers that the task failed on.
+	FailedOn  []WorkerID `cbor:"6,keyasint,omitempty"`
+	Evictions uint32     `cbor:"7,keyasint,omitempty"`
+}
+
+// JobSpec is what a job asks for.
+type JobSpec struct {
+	ID     JobID    `cbor:"1,keyasint"`
+	Team   Team     `cbor:"2,keyasint,omitempty"`
+	Class  string   `cbor:"3,keyasint,omitempty"` // what the tasks run
+	Size   Size     `cbor:"4,keyasint"`           // of each task, declared
+	Inputs []string `cbor:"5,keyasint"`           // one per task
+	Urgent bool     `cbor:"6,keyasint,omitempty"`
+	// Once marks a job whose tasks are never run again once they may have
+	// started without a checkpoint to resume from.
+	Once bool `cbor:"7,keyasint,omitempty"`
+}
+
+// JobRow is a job with the states of its tasks.
+type JobRow struct {
+	Spec     JobSpec   `cbor:"1,keyasint"`
+	Tasks    []TaskRow `cbor:"2,keyasint"`
+	Cancel   bool      `cbor:"3,keyasint,omitempty"`
+	Stamp    string    `cbor:"4,keyasint"` // of the last write, to recognise it
+	Accepted time.Time `cbor:"5,keyasint,omitzero"`
+}
+
+// OpRow records the result of a command, written with its effects.
+type OpRow struct {
+	ID      string  `cbor:"1,keyasint"`
+	Text    string  `cbor:"2,keyasint,omitempty"`
+	Version uint64  `cbor:"3,keyasint,omitempty"`
+	By      EntryID `cbor:"4,keyasint,omitempty"`
+	Stmt    string  `cbor:"5,keyasint,omitempty"` // to tell another command with the same id
+}
+
+// Record is one of the row types above.
+type Record interface{ record() }
+
+func (ServiceRow) record() {}
+func (DCRow) record()      {}
+func (TeamRow) record()    {}
+func (PolicyRow) record()  {}
+func (VersionRow) record() {}
+func (EntryRow) record()   {}
+func (FenceRow) record()   {}
+func (JobRow) record()     {}
+func (OpRow) record()      {}
+
+// Keys of the rows.
+func keyService(n string) string   { return PrefixConfig + "service/" + n }
+func keyDC(n DC) string            { return PrefixConfig + "dc/" + string(n) }
+func keyTeam(n Team) string        { return PrefixConfig + "team/" + string(n) }
+func keyPolicy(n string) string    { return PrefixConfig + "policy/" + n }
+func keyEntry(n EntryID) string    { return PrefixEntry + string(n) }
+func keyFence(w WorkerID) string   { return PrefixFence + string(w) }
+func keyOp(id string) string       { return PrefixOp + id }
+func shardPrefix(shard int) string { return fmt.Sprintf("%s%03d/", PrefixJob, shard) }
+func keyJob(id JobID) string       { return shardPrefix(ShardOf(id)) + string(id) }
+
+// ShardOf returns the shard of a job, in [0, Shards).
+func ShardOf(id JobID) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32() % Shards)
+}
+
+// Encode returns a record's bytes as they stand in the table.
+func Encode(r Record) ([]byte, error) {
+	b, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", r, err)
+	}
+	return b, nil
+}
+
+// Decode reads a row's record. The key tells its type.
+func Decode(key string, b []byte) (Record, error) {
+	switch {
+	case key == KeyVersion:
+		return decode[VersionRow](key, b)
+	case strings.HasPrefix(key, PrefixConfig+"service/"):
+		return decode[ServiceRow](key, b)
+	case strings.HasPrefix(key, PrefixConfig+"dc/"):
+		return decode[DCRow](key, b)
+	case strings.HasPrefix(key, PrefixConfig+"team/"):
+		return decode[TeamRow](key, b)
+	case strings.HasPrefix(key, PrefixConfig+"policy/"):
+		return decode[PolicyRow](key, b)
+	case strings.HasPrefix(key, PrefixEntry):
+		return decode[EntryRow](key, b)
+	case strings.HasPrefix(key, PrefixJob):
+		return decode[JobRow](key, b)
+	case strings.HasPrefix(key, PrefixFence):
+		return decode[FenceRow](key, b)
+	case strings.HasPrefix(key, PrefixOp):
+		return decode[OpRow](key, b)
+	}
+	return nil, fmt.Errorf("decode %s: unknown kind of row", key)
+}
+
+func decode[T Record](key string, b []byte) (Record, error) {
+	var r T
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", key, err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/place/size.go
@@ -0,0 +1,36 @@
+// Package place chooses the worker for a task among many.
+package place
+
+import "fmt"
+
+// Size is an amount of a VM's resources.
+type Size struct {
+	Millicores   int64 `cbor:"1,keyasint,omitempty"`
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Plus returns the sum of s and o.
+func (s Size) Plus(o Size) Size {
+	return Size{s.Millicores + o.Millicores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference of s and o.
+func (s Size) Minus(o Size) Size {
+	return Size{s.Millicores - o.Millicores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Max returns the larger of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{max(s.Millicores, o.Millicores), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
+// Fits reports whether s is at most o in every dimension.
+func (s Size) Fits(o Size) bool {
+	return s.Millicores <= o.Millicores && s.MemoryMB <= o.MemoryMB && s.Accelerators <= o.Accelerators
+}
+
+// String returns the size with its units.
+func (s Size) String() string {
+	return fmt.Sprintf("%dm cores, %d MB, %d accelerators", s.Millicores, s.MemoryMB, s.Accelerators)
+}
