--- /dev/null
+++ b/config/policy.go
@@ -0,0 +1,205 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"jayloft/core"
+	"jayloft/internal/unit"
+)
+
+// Unit is what a number of policy counts.
+type Unit string
+
+// The units of numbers of policy.
+const (
+	Seconds   Unit = "seconds" // written as a length of time: "15s"
+	Share     Unit = "share"   // of a whole, or a ratio
+	Count     Unit = "count"   // a whole number
+	PerSecond Unit = "per second"
+)
+
+// Number is a number of policy that operators may change, in settings or by
+// the statement set.
+type Number struct {
+	Name     string
+	Unit     Unit
+	Min, Max float64
+	field    func(*core.Policy) any // a pointer to Duration, float64 or int
+}
+
+// Numbers lists the numbers of policy.
+func Numbers() []Number {
+	const ms, minute, hour = 0.001, 60, 3600
+	return []Number{
+		{"permit", Seconds, 100 * ms, 30, func(p *core.Policy) any { return &p.Permit }},
+		{"lease", Seconds, 1, 10 * minute, func(p *core.Policy) any { return &p.Lease }},
+		{"drift", Seconds, 0, 10, func(p *core.Policy) any { return &p.Drift }},
+		{"beat", Seconds, 50 * ms, 10, func(p *core.Policy) any { return &p.BeatEvery }},
+		{"inspect", Seconds, 50 * ms, 10, func(p *core.Policy) any { return &p.InspectEvery }},
+		{"read", Seconds, 50 * ms, 5, func(p *core.Policy) any { return &p.ReadEvery }},
+		{"silent", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.Silent }},
+		{"suspect", Seconds, 200 * ms, 10 * minute, func(p *core.Policy) any { return &p.Suspect }},
+		{"dead", Seconds, 1, 10 * minute, func(p *core.Policy) any { return &p.EntryDead }},
+		{"fence", Seconds, 1 * ms, minute, func(p *core.Policy) any { return &p.FencesEvery }},
+		{"settle", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.SettleAfter }},
+		{"checkpoint", Seconds, 100 * ms, hour, func(p *core.Policy) any { return &p.CheckpointEvery }},
+		{"queue", Share, 0, 64, func(p *core.Policy) any { return &p.QueuePerSlot }},
+		{"retries", Share, 0, 1, func(p *core.Policy) any { return &p.RetryShare }},
+		{"hedges", Share, 0, 1, func(p *core.Policy) any { return &p.HedgeShare }},
+		{"quantile", Share, 0.5, 0.9999, func(p *core.Policy) any { return &p.HedgeQuantile }},
+		{"parking", Count, 1, 100, func(p *core.Policy) any { return &p.ParkFailures }},
+		{"writes", PerSecond, 1, 10_000, func(p *core.Policy) any { return &p.WritesPerSecond }},
+		{"reads", PerSecond, 1, 100_000, func(p *core.Policy) any { return &p.ReadsPerSecond }},
+		{"rows", Count, 1, 1000, func(p *core.Policy) any { return &p.TxnRows }},
+		{"ramp", Seconds, 0, 10 * minute, func(p *core.Policy) any { return &p.RampFor }},
+	}
+}
+
+// FindNumber returns the number of policy with a name.
+func FindNumber(name string) (Number, bool) {
+	for _, n := range Numbers() {
+		if n.Name == name {
+			return n, true
+		}
+	}
+	return Number{}, false
+}
+
+// Parse reads a value: a length of time for Seconds, else a number. The
+// result is in the number's unit.
+func (n Number) Parse(s string) (float64, error) {
+	v, err := n.parse(s)
+	if err != nil {
+		return 0, err
+	}
+	if !(v >= n.Min && v <= n.Max) {
+		return 0, fmt.Errorf("%s is not between %s and %s", s, n.Format(n.Min), n.Format(n.Max))
+	}
+	return v, nil
+}
+
+func (n Number) parse(s string) (float64, error) {
+	if n.Unit == Seconds {
+		d, err := unit.Duration(s)
+		return d.Seconds(), err
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is no number", s)
+	}
+	if n.Unit == Count && v != math.Trunc(v) {
+		return 0, fmt.Errorf("%s is no whole number", s)
+	}
+	return v, nil
+}
+
+// Format writes a value as Parse reads it.
+func (n Number) Format(v float64) string {
+	if n.Unit == Seconds {
+		return unit.FormatDuration(seconds(v))
+	}
+	return strconv.FormatFloat(v, 'g', -1, 64)
+}
+
+// Of returns the number's value in a policy.
+func (n Number) Of(p core.Policy) float64 {
+	switch f := n.field(&p).(type) {
+	case *time.Duration:
+		return f.Seconds()
+	case *int:
+		return float64(*f)
+	case *float64:
+		return *f
+	}
+	return 0
+}
+
+// Apply changes the number in a policy.
+func (n Number) Apply(p *core.Policy, v float64) {
+	switch f := n.field(p).(type) {
+	case *time.Duration:
+		*f = seconds(v)
+	case *int:
+		*f = int(v)
+	case *float64:
+		*f = v
+	}
+}
+
+func seconds(v float64) time.Duration {
+	return time.Duration(math.Round(v * float64(time.Second)))
+}
+
+// number stores a number of policy.
+func number(p *core.Policy, n Number) setter {
+	return func(r *reader, v *node) {
+		if !r.isNumber(v, n) {
+			return
+		}
+		f, err := n.Parse(strings.ReplaceAll(v.text, "_", ""))
+		if err != nil {
+			r.find(v.at, err.Error())
+			return
+		}
+		n.Apply(p, f)
+	}
+}
+
+// isNumber reports whether a value has a kind that suits the number's unit.
+func (r *reader) isNumber(v *node, n Number) bool {
+	example := n.Format(n.Of(core.DefaultPolicy()))
+	if n.Unit == Seconds {
+		return r.is(v, unstable.String, quote(example))
+	}
+	if v.kind == unstable.Integer || v.kind == unstable.Float {
+		return true
+	}
+	r.findf(v.at, "want a number such as %s, not %s", example, kindName(v.kind))
+	return false
+}
+
+// order is a pair of numbers of which the first must be below the second.
+type order struct{ low, high string }
+
+// orders are the pairs that a policy has to keep: with others, healthy workers
+// would be taken for silent or every start order for stale.
+var orders = []order{
+	{"beat", "silent"},
+	{"beat", "permit"},
+	{"read", "permit"},
+	{"silent", "suspect"},
+	{"permit", "lease"},
+	{"beat", "lease"},
+}
+
+// policy reads [policy].
+func (r *reader) policy(t *node, p *core.Policy) {
+	var fs []field
+	for _, n := range Numbers() {
+		fs = append(fs, field{n.Name, false, number(p, n)})
+	}
+	before := len(r.found)
+	r.fields(t, "[policy]", fs...)
+	if len(r.found) > before {
+		return
+	}
+	for _, o := range orders {
+		low, _ := FindNumber(o.low)
+		high, _ := FindNumber(o.high)
+		a, b := low.Of(*p), high.Of(*p)
+		if a < b {
+			continue
+		}
+		at := t.get(o.low)
+		if at == nil {
+			at = t.get(o.high)
+		}
+		r.findf(at.at, "%s (%s) must be below %s (%s)", o.low, low.Format(a), o.high, high.Format(b))
+	}
+}
--- /dev/null
+++ b/core/agent.go
@@ -0,0 +1,282 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Agent is the reducer of the process beside one worker. Nothing starts on the
+// VM unless the Agent admits it. Create it with NewAgent.
+type Agent struct {
+	site AgentSite
+	pol  Policy
+
+	at  Stamp
+	out []AgentEffect
+
+	inc      Incarnation
+	ready    bool // the worker has been inspected
+	boot     string
+	capacity Size
+	slots    int
+	services []string
+	used     Size
+
+	held   map[TaskID]*heldTask
+	ends   map[Attempt]End
+	graves map[Attempt]time.Time // attempts that never start, until then
+
+	echo   time.Time // newest, on this VM's clock
+	began  time.Time // when this process began
+	joined time.Time // when this incarnation began, or was adopted
+	fenced bool
+	gone   map[Incarnation]bool // vouched for as dead
+
+	config confView
+	peers  map[netip.AddrPort]*beatPeer
+
+	serve serveState
+
+	leaving     bool
+	leaveBy     time.Time
+	exited      bool
+	nextInspect time.Time
+	inspecting  bool
+	armed       time.Time // of the last Wake
+}
+
+// beatPeer is an entry that the agent sends beats to.
+type beatPeer struct {
+	next     time.Time
+	inFlight bool
+	answered time.Time
+}
+
+// NewAgent returns the reducer of one life of an agent process.
+func NewAgent(site AgentSite, opts ...Option) *Agent {
+	a := &Agent{
+		site:   site,
+		pol:    newPolicy(opts),
+		held:   map[TaskID]*heldTask{},
+		ends:   map[Attempt]End{},
+		graves: map[Attempt]time.Time{},
+		gone:   map[Incarnation]bool{},
+		peers:  map[netip.AddrPort]*beatPeer{},
+	}
+	for _, addr := range site.Entries {
+		a.peers[addr] = &beatPeer{}
+	}
+	a.serve.init()
+	return a
+}
+
+// Reduce takes one event and returns what is to be done. The slice is valid
+// until the next call.
+func (a *Agent) Reduce(at Stamp, ev AgentEvent) []AgentEffect {
+	a.at = at
+	a.out = a.out[:0]
+	if a.began.IsZero() {
+		a.began = at.Now
+	}
+	switch ev := ev.(type) {
+	case Tick:
+	case Inspected:
+		a.inspected(ev)
+	case BeatAnswered:
+		a.beatAnswered(ev)
+	case StartAsked:
+		a.startAsked(ev)
+	case StopAsked:
+		a.stopAsked(ev)
+	case SettleAsked:
+		a.settleAsked(ev)
+	case ServeAsked:
+		a.serveAsked(ev)
+	case RevokeAsked:
+		a.revokeAsked(ev)
+	case Launched:
+		a.launched(ev)
+	case Controlled:
+		a.controlled(ev)
+	case Called:
+		a.called(ev)
+	case Leave:
+		a.leave(ev)
+	}
+	a.advance()
+	return a.out
+}
+
+// advance does all that is due at the present time.
+func (a *Agent) advance() {
+	if a.exited {
+		return
+	}
+	a.inspectDue()
+	a.expireQueue()
+	a.drainDue()
+	a.launchDue()
+	a.checkpointDue()
+	a.beatDue()
+	a.leaveDue()
+	a.arm()
+}
+
+func (a *Agent) emit(eff AgentEffect) { a.out = append(a.out, eff) }
+
+func (a *Agent) count(name string, r Reason) { a.emit(Count{Name: name, Reason: r}) }
+
+func (a *Agent) note(text, subject, detail string) {
+	a.emit(Note{Text: text, Subject: subject, Detail: detail})
+}
+
+func (a *Agent) inspectDue() {
+	if a.inspecting || a.at.Now.Before(a.nextInspect) {
+		return
+	}
+	a.inspectNow()
+}
+
+func (a *Agent) inspectNow() {
+	a.inspecting = true
+	a.nextInspect = a.at.Now.Add(a.pol.InspectEvery)
+	a.emit(Inspect{})
+}
+
+// inspected takes the worker's account. The first one settles which
+// incarnation this is: the one whose tasks still run there, or a new one.
+func (a *Agent) inspected(ev Inspected) {
+	a.inspecting = false
+	if ev.Fault != FaultNone {
+		a.count("inspect", ReasonWorker)
+		return
+	}
+	if a.ready && ev.Boot != a.boot {
+		a.rebooted()
+	}
+	a.boot = ev.Boot
+	a.capacity, a.slots, a.services = ev.Capacity, ev.Slots, ev.Services
+	if !a.ready && !a.adopt(ev.Tasks) {
+		return
+	}
+	a.matchTasks(ev.Tasks)
+}
+
+// adopt takes over the tasks that an earlier agent process started, and its
+// incarnation. Where there are none, the agent joins as a new incarnation once
+// no launch of an earlier process can still be on its way. It reports whether
+// the agent has joined.
+func (a *Agent) adopt(tasks []WorkerTask) bool {
+	for _, t := range tasks {
+		if t.State == WorkerEnded {
+			if a.inc == "" {
+				a.inc = t.Inc
+			}
+			continue
+		}
+		a.inc = t.Inc
+		a.held[t.Attempt.Task] = adopted(t)
+	}
+	if a.inc == "" && !a.settledIn() {
+		return false
+	}
+	a.ready, a.joined = true, a.at.Now
+	if a.inc == "" {
+		a.renew()
+	}
+	a.note("joined", string(a.inc), fmt.Sprintf("%d tasks adopted", len(a.held)))
+	return true
+}
+
+// settledIn reports whether every launch of an earlier agent process on this
+// VM has either reached the worker or run out of its permit.
+func (a *Agent) settledIn() bool {
+	return a.at.Now.After(a.began.Add(a.pol.Permit + a.pol.Drift))
+}
+
+// renew takes a new incarnation; nothing may be held.
+func (a *Agent) renew() {
+	if a.inc != "" {
+		a.gone[a.inc] = true
+	}
+	a.inc = Incarnation(fmt.Sprintf("%s-%x-%x", a.site.Run, a.at.Now.UnixNano(), a.at.Seed))
+	a.fenced = false
+	a.echo, a.joined = time.Time{}, a.at.Now
+}
+
+// rebooted forgets what the VM held before it was restarted under the agent.
+func (a *Agent) rebooted() {
+	clear(a.held)
+	a.serve.init()
+	a.renew()
+	a.note("worker restarted", string(a.inc), "")
+}
+
+// leave begins a planned stop.
+func (a *Agent) leave(ev Leave) {
+	if a.leaving {
+		return
+	}
+	a.leaving, a.leaveBy = true, ev.By
+	for _, t := range a.heldInOrder() {
+		a.stop(t, EndEvicted, "agent leaves")
+	}
+}
+
+// leaveDue ends a planned stop once nothing is left to hand back.
+func (a *Agent) leaveDue() {
+	if !a.leaving {
+		return
+	}
+	idle := len(a.held) == 0 && len(a.ends) == 0 && a.serve.idle()
+	if !idle && a.at.Now.Before(a.leaveBy) {
+		return
+	}
+	a.exited = true
+	a.emit(Exit{})
+}
+
+// out reports whether the VM's own data centre is out, and until when work
+// there may go on.
+func (a *Agent) dcOut() (bool, time.Time) {
+	row, ok := a.config.dc(a.site.DC)
+	if !ok || !row.Out {
+		return false, time.Time{}
+	}
+	return true, row.By
+}
+
+// arm asks for a tick at the next time at which something is due.
+func (a *Agent) arm() {
+	next := a.nextInspect
+	for _, p := range a.peers {
+		if !p.inFlight && p.next.Before(next) {
+			next = p.next
+		}
+	}
+	next = earliest(next, a.serve.nextDue())
+	next = earliest(next, a.nextTaskDue())
+	if a.leaving {
+		next = earliest(next, a.leaveBy)
+	}
+	if a.armed.After(a.at.Now) && !next.Before(a.armed) {
+		return
+	}
+	if !next.After(a.at.Now) {
+		next = a.at.Now.Add(minWake)
+	}
+	a.armed = next
+	a.emit(Wake{At: next})
+}
+
+// minWake is the least time between two wakes of a reducer.
+const minWake = time.Millisecond
+
+// earliest returns the earlier of two times; a zero time counts as never.
+func earliest(t, u time.Time) time.Time {
+	if t.IsZero() || (!u.IsZero() && u.Before(t)) {
+		return u
+	}
+	return t
+}
--- /dev/null
+++ b/core/agentbeat.go
@@ -0,0 +1,191 @@
+package core
+
+import (
+	"net/netip"
+	"sort"
+	"time"
+)
+
+// beatTimeout is how long a beat may go unanswered before the next is sent.
+const beatTimeout = 3 * time.Second
+
+// beatDue sends a beat to each entry whose turn it is.
+func (a *Agent) beatDue() {
+	if !a.ready {
+		return
+	}
+	for _, addr := range a.peerAddrs() {
+		p := a.peers[addr]
+		if p.inFlight && a.at.Now.Before(p.next.Add(beatTimeout)) || a.at.Now.Before(p.next) {
+			continue
+		}
+		p.next = a.at.Now.Add(a.pol.BeatEvery)
+		p.inFlight = true
+		a.emit(SendBeat{Entry: addr, Beat: a.beat()})
+	}
+}
+
+// beatSoon makes the next beats due now, to report an end early.
+func (a *Agent) beatSoon() {
+	for _, p := range a.peers {
+		if !p.inFlight {
+			p.next = a.at.Now
+		}
+	}
+}
+
+func (a *Agent) peerAddrs() []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, len(a.peers))
+	for addr := range a.peers {
+		addrs = append(addrs, addr)
+	}
+	sort.Slice(addrs, func(i, j int) bool { return addrs[i].Compare(addrs[j]) < 0 })
+	return addrs
+}
+
+// beat returns what the agent says about its VM.
+func (a *Agent) beat() Beat {
+	out, _ := a.dcOut()
+	b := Beat{
+		Worker: a.site.Worker, Inc: a.inc, Run: a.site.Run, Addr: a.site.Addr,
+		DC: a.site.DC, Rack: a.site.Rack, Sent: a.at.Now,
+		Capacity: a.capacity, Committed: a.committed(), Batch: a.batch(), Used: a.used,
+		Slots: a.slots, Services: a.serve.loads(a.services),
+		Config: a.config.rev, Leaving: a.leaving || out || a.fenced,
+	}
+	for _, t := range a.heldInOrder() {
+		b.Running = append(b.Running, t.order.Attempt)
+	}
+	for _, e := range a.ends {
+		b.Ends = append(b.Ends, e)
+	}
+	sort.Slice(b.Ends, func(i, j int) bool { return lessTask(b.Ends[i].Attempt.Task, b.Ends[j].Attempt.Task) })
+	for inc := range a.gone {
+		b.Gone = append(b.Gone, inc)
+	}
+	sort.Slice(b.Gone, func(i, j int) bool { return b.Gone[i] < b.Gone[j] })
+	return b
+}
+
+// beatAnswered takes an entry's answer.
+func (a *Agent) beatAnswered(ev BeatAnswered) {
+	p, ok := a.peers[ev.Entry]
+	if !ok {
+		return
+	}
+	p.inFlight = false
+	if ev.Fault != FaultNone {
+		a.count("beat", ReasonCut)
+		return
+	}
+	p.answered = a.at.Now
+	ans := ev.Answer
+	a.applyConfig(ans)
+	a.learnEntries(ans.Entries)
+	for _, t := range ans.Recorded {
+		a.recorded(t)
+	}
+	for _, t := range ans.Moved {
+		a.dropMoved(t)
+	}
+	if ans.Prior != "" && ans.Prior != a.inc {
+		a.gone[ans.Prior] = true
+	}
+	if ev.Sent.Before(a.joined) {
+		return // meant for an earlier incarnation
+	}
+	if ans.Fenced {
+		a.fence()
+		return
+	}
+	a.extend(ans.Echo)
+}
+
+// extend renews the leases of the VM's tasks from a newer echo.
+func (a *Agent) extend(echo time.Time) {
+	if a.fenced || !echo.After(a.echo) || echo.After(a.at.Now) || echo.Before(a.joined) {
+		return
+	}
+	a.echo = echo
+	var ts []Attempt
+	for _, t := range a.heldInOrder() {
+		if t.launched && t.stopping == "" {
+			t.deadline = a.leaseEnd()
+			ts = append(ts, t.order.Attempt)
+		}
+	}
+	if len(ts) > 0 {
+		a.emit(Renew{Attempts: ts, Deadline: a.leaseEnd()})
+	}
+}
+
+// fence stops all that this incarnation holds: its claims are being moved.
+func (a *Agent) fence() {
+	if !a.fenced {
+		a.note("fenced", string(a.inc), "claims move elsewhere")
+		a.count("fence", ReasonIncarnation)
+	}
+	a.fenced = true
+	for _, t := range a.heldInOrder() {
+		t.moved = true
+		a.stop(t, EndCancelled, "fenced")
+	}
+	a.rejoin()
+}
+
+// rejoin takes a new incarnation once a fenced one holds nothing.
+func (a *Agent) rejoin() {
+	if a.fenced && len(a.held) == 0 {
+		a.renew()
+	}
+}
+
+func (a *Agent) applyConfig(ans BeatAnswer) {
+	if ans.Config == 0 {
+		return
+	}
+	for _, err := range a.config.apply(ans.Rows, ans.Config, ans.Full, a.pol.on(guardConfig)) {
+		a.note("configuration row passed over", "", err.Error())
+	}
+}
+
+// learnEntries replaces the known entries; those of the settings stay.
+func (a *Agent) learnEntries(addrs []netip.AddrPort) {
+	if len(addrs) == 0 {
+		return
+	}
+	keep := map[netip.AddrPort]bool{}
+	for _, addr := range append(addrs, a.site.Entries...) {
+		keep[addr] = true
+		if a.peers[addr] == nil {
+			a.peers[addr] = &beatPeer{next: a.at.Now}
+		}
+	}
+	for addr := range a.peers {
+		if !keep[addr] {
+			delete(a.peers, addr)
+		}
+	}
+}
+
+// recorded forgets an end that the table holds.
+func (a *Agent) recorded(t Attempt) {
+	if _, ok := a.ends[t]; !ok {
+		return
+	}
+	delete(a.ends, t)
+	a.graves[t] = a.at.Now.Add(a.pol.Permit + time.Second)
+	a.emit(Control{Attempt: t, Verb: VerbForget})
+}
+
+// dropMoved stops an attempt whose claim is no longer its own.
+func (a *Agent) dropMoved(t Attempt) {
+	a.recorded(t)
+	held, ok := a.held[t.Task]
+	if !ok || held.order.Attempt != t {
+		return
+	}
+	held.moved = true
+	a.count("evict", ReasonTombstone)
+	a.stop(held, EndCancelled, "claim moved")
+}
--- /dev/null
+++ b/core/agentserve.go
@@ -0,0 +1,325 @@
+package core
+
+import "time"
+
+// Bounds on what an agent remembers of requests.
+const (
+	// rememberFor is how long the answer to a non-idempotent request, or a
+	// promise never to run one, is kept.
+	rememberFor = 10 * time.Minute
+	// refusedFor is how long a refused try is kept, so that a second copy of
+	// it is refused too.
+	refusedFor = 30 * time.Second
+	// rememberMax bounds how many answers and refusals are kept of each.
+	rememberMax = 20000
+	// smoothing is the weight of a new sample in the mean service time.
+	smoothing = 0.1
+)
+
+// serveState is the part of an Agent that runs requests.
+type serveState struct {
+	running map[RequestID]*serving
+	queue   []*serving
+	known   answerLog                // by request id: answers, and promises never to run
+	refused answerLog                // by try
+	means   map[string]time.Duration // service time by service
+}
+
+// answerLog keeps answers for a time. The zero value is empty.
+type answerLog struct {
+	answers map[string]ServeAnswer
+	expiry  []answerUntil // oldest first
+}
+
+type answerUntil struct {
+	key   string
+	until time.Time
+}
+
+// put keeps an answer until a time; all answers of a log are kept for the same
+// length of time, so the oldest is dropped first.
+func (l *answerLog) put(key string, ans ServeAnswer, now, until time.Time) {
+	if l.answers == nil {
+		l.answers = map[string]ServeAnswer{}
+	}
+	if _, ok := l.answers[key]; !ok {
+		l.expiry = append(l.expiry, answerUntil{key, until})
+	}
+	l.answers[key] = ans
+	for len(l.expiry) > 0 && (len(l.expiry) > rememberMax || l.expiry[0].until.Before(now)) {
+		delete(l.answers, l.expiry[0].key)
+		l.expiry = l.expiry[1:]
+	}
+}
+
+// serving is one admitted request.
+type serving struct {
+	req    Request
+	call   string  // name of the first try
+	tokens []Token // of all that wait for the answer
+	began  time.Time
+}
+
+func (s *serveState) init() {
+	s.running = map[RequestID]*serving{}
+	s.queue = nil
+	s.known, s.refused = answerLog{}, answerLog{}
+	if s.means == nil {
+		s.means = map[string]time.Duration{}
+	}
+}
+
+func (s *serveState) idle() bool { return len(s.running) == 0 && len(s.queue) == 0 }
+
+// nextDue returns when the next queued request can no longer be done in time.
+func (s *serveState) nextDue() time.Time {
+	var next time.Time
+	for _, q := range s.queue {
+		next = earliest(next, q.req.Deadline.Add(-s.means[q.req.Service]))
+	}
+	return next
+}
+
+// loads returns how busy the endpoint is with each service.
+func (s *serveState) loads(services []string) []ServiceLoad {
+	loads := make([]ServiceLoad, len(services))
+	for i, name := range services {
+		loads[i].Service = name
+		for _, r := range s.running {
+			if r.req.Service == name {
+				loads[i].Running++
+			}
+		}
+		for _, q := range s.queue {
+			if q.req.Service == name {
+				loads[i].Queued++
+			}
+		}
+	}
+	return loads
+}
+
+// remember keeps an answer, so that a repeated or revoked id is recognised.
+func (s *serveState) remember(id RequestID, ans ServeAnswer, now time.Time) {
+	s.known.put(string(id), ans, now, now.Add(rememberFor))
+}
+
+// find returns the admitted request with the id.
+func (s *serveState) find(id RequestID) *serving {
+	if r, ok := s.running[id]; ok {
+		return r
+	}
+	for _, q := range s.queue {
+		if q.req.ID == id {
+			return q
+		}
+	}
+	return nil
+}
+
+// serveAsked admits a request to a slot or the queue, or refuses it at once.
+func (a *Agent) serveAsked(ev ServeAsked) {
+	if a.pol.on(guardDedupe) {
+		if r := a.serve.find(ev.Request.ID); r != nil {
+			r.tokens = append(r.tokens, ev.Token)
+			return
+		}
+		if ans, ok := a.answeredBefore(ev); ok {
+			a.emit(ServeReply{Token: ev.Token, Answer: ans})
+			return
+		}
+	}
+	if r := a.checkServe(ev); r != ReasonNone {
+		a.refuse(ev, r)
+		return
+	}
+	s := &serving{req: ev.Request, call: ev.Call, tokens: []Token{ev.Token}}
+	if len(a.serve.running) < a.slots {
+		a.begin(s)
+		return
+	}
+	a.serve.queue = append(a.serve.queue, s)
+}
+
+func (a *Agent) checkServe(ev ServeAsked) Reason {
+	switch {
+	case !a.ready:
+		return ReasonWorker
+	case a.pol.on(guardIncarnation) && (ev.Inc != a.inc || ev.Run != a.site.Run):
+		return ReasonIncarnation
+	case a.leaving:
+		return ReasonLeaving
+	case !a.serves(ev.Request.Service):
+		return ReasonService
+	}
+	if out, _ := a.dcOut(); out {
+		return ReasonLeaving
+	}
+	if len(a.serve.running) >= a.slots && float64(len(a.serve.queue)) >= a.pol.QueuePerSlot*float64(a.slots) {
+		return ReasonQueue
+	}
+	need := a.serve.means[ev.Request.Service] + a.expectedWait(len(a.serve.queue))
+	if a.at.Now.Add(need).After(ev.Request.Deadline) {
+		return ReasonDeadline
+	}
+	return ReasonNone
+}
+
+func (a *Agent) serves(service string) bool {
+	for _, s := range a.services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedWait returns the time until a slot is free for a request that comes
+// after n queued ones: each slot ends one request per mean service time.
+func (a *Agent) expectedWait(n int) time.Duration {
+	if len(a.serve.running) < a.slots || a.slots == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, r := range a.serve.running {
+		sum += a.serve.means[r.req.Service]
+	}
+	mean := sum / time.Duration(len(a.serve.running))
+	return mean * time.Duration(n+1) / time.Duration(a.slots)
+}
+
+// refuse answers that a try was not run, and keeps to it if a second copy of
+// the try comes later.
+func (a *Agent) refuse(ev ServeAsked, r Reason) {
+	a.count("refuse", r)
+	ans := ServeAnswer{ID: ev.Request.ID, Outcome: OutcomeRefused, Reason: r}
+	a.serve.refused.put(ev.Call, ans, a.at.Now, a.at.Now.Add(refusedFor))
+	a.emit(ServeReply{Token: ev.Token, Answer: a.load(ans)})
+}
+
+// answeredBefore returns the answer that a second copy of a try gets.
+func (a *Agent) answeredBefore(ev ServeAsked) (ServeAnswer, bool) {
+	if ans, ok := a.serve.refused.answers[ev.Call]; ok {
+		return ans, true
+	}
+	if ev.Run != a.site.Run {
+		return ServeAnswer{}, false
+	}
+	ans, ok := a.serve.known.answers[string(ev.Request.ID)]
+	return ans, ok
+}
+
+// load adds to an answer how busy the endpoint is.
+func (a *Agent) load(ans ServeAnswer) ServeAnswer {
+	ans.Wait = a.expectedWait(len(a.serve.queue))
+	ans.Queued, ans.Running = len(a.serve.queue), len(a.serve.running)
+	return ans
+}
+
+func (a *Agent) begin(s *serving) {
+	s.began = a.at.Now
+	a.serve.running[s.req.ID] = s
+	a.emit(Call{ID: s.req.ID, Service: s.req.Service, Body: s.req.Body, Deadline: s.req.Deadline})
+}
+
+// called passes the endpoint's answer on and gives the slot to the next.
+func (a *Agent) called(ev Called) {
+	s, ok := a.serve.running[ev.ID]
+	if !ok {
+		return
+	}
+	delete(a.serve.running, ev.ID)
+	ans := ServeAnswer{ID: ev.ID, Outcome: OutcomeDone, Body: ev.Body}
+	switch {
+	case ev.Fault == FaultNotSent:
+		ans = ServeAnswer{ID: ev.ID, Outcome: OutcomeRefused, Reason: ReasonWorker}
+	case ev.Fault == FaultCut:
+		ans = ServeAnswer{ID: ev.ID, Outcome: OutcomeUnknown, Reason: ReasonWorker}
+	case !ev.OK:
+		ans = ServeAnswer{ID: ev.ID, Outcome: OutcomeFailed, Text: ev.Text, Body: ev.Body}
+	default:
+		a.learnMean(s.req.Service, a.at.Now.Sub(s.began))
+	}
+	a.finish(s, ans)
+	a.nextQueued()
+}
+
+func (a *Agent) learnMean(service string, took time.Duration) {
+	mean, ok := a.serve.means[service]
+	if !ok {
+		a.serve.means[service] = took
+		return
+	}
+	a.serve.means[service] = mean + time.Duration(smoothing*float64(took-mean))
+}
+
+// finish answers all that wait for a request.
+func (a *Agent) finish(s *serving, ans ServeAnswer) {
+	if !s.req.Idempotent && ans.Outcome != OutcomeRefused {
+		a.serve.remember(s.req.ID, ans, a.at.Now)
+	}
+	ans = a.load(ans)
+	for _, t := range s.tokens {
+		a.emit(ServeReply{Token: t, Answer: ans})
+	}
+}
+
+func (a *Agent) nextQueued() {
+	a.expireQueue()
+	for len(a.serve.queue) > 0 && len(a.serve.running) < a.slots {
+		s := a.serve.queue[0]
+		a.serve.queue = a.serve.queue[1:]
+		a.begin(s)
+	}
+}
+
+// expireQueue refuses queued requests that can no longer be done in time.
+func (a *Agent) expireQueue() {
+	keep := a.serve.queue[:0]
+	for _, s := range a.serve.queue {
+		if a.at.Now.Add(a.serve.means[s.req.Service]).Before(s.req.Deadline) {
+			keep = append(keep, s)
+			continue
+		}
+		a.count("refuse", ReasonDeadline)
+		ans := ServeAnswer{ID: s.req.ID, Outcome: OutcomeRefused, Reason: ReasonDeadline}
+		a.serve.refused.put(s.call, ans, a.at.Now, a.at.Now.Add(refusedFor))
+		a.finish(s, ans)
+	}
+	clear(a.serve.queue[len(keep):])
+	a.serve.queue = keep
+}
+
+// revokeAsked takes a request back. "Never" is a promise: the id is kept so
+// that a copy still on its way is refused.
+func (a *Agent) revokeAsked(ev RevokeAsked) {
+	state, ans := a.revoke(ev)
+	a.emit(RevokeReply{Token: ev.Token, State: state, Answer: ans})
+}
+
+func (a *Agent) revoke(ev RevokeAsked) (RevokeState, ServeAnswer) {
+	never := ServeAnswer{ID: ev.ID, Outcome: OutcomeRefused, Reason: ReasonRevoked}
+	if ev.Run != a.site.Run {
+		return RevokeUnknown, ServeAnswer{}
+	}
+	if _, ok := a.serve.running[ev.ID]; ok {
+		return RevokeRunning, ServeAnswer{}
+	}
+	if ans, ok := a.serve.known.answers[string(ev.ID)]; ok {
+		if ans.Outcome == OutcomeRefused {
+			return RevokeNever, ans
+		}
+		return RevokeResult, ans
+	}
+	for i, s := range a.serve.queue {
+		if s.req.ID == ev.ID {
+			a.serve.queue = append(a.serve.queue[:i], a.serve.queue[i+1:]...)
+			a.finish(s, never)
+			break
+		}
+	}
+	if a.pol.on(guardTombstone) {
+		a.serve.remember(ev.ID, never, a.at.Now)
+	}
+	return RevokeNever, never
+}
--- /dev/null
+++ b/core/conf.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"sort"
+	"strings"
+
+	"jayloft/table"
+)
+
+// confView is a process's copy of the configuration. The zero value is empty.
+type confView struct {
+	rows map[string]confRow
+	rev  uint64 // table version of KeyVersion, zero before the first read
+	n    uint64 // number of changes, as operators see it
+}
+
+type confRow struct {
+	row table.Row
+	rec Record
+}
+
+// apply merges changed rows that lead to revision rev. It never goes back: a
+// row older than the one held is passed over. Rows that can't be decoded are
+// returned as errors and leave the view as it was for that row.
+func (v *confView) apply(rows []table.Row, rev uint64, full bool, monotonic bool) []error {
+	if monotonic && rev < v.rev {
+		return nil
+	}
+	if v.rows == nil || full {
+		v.rows = map[string]confRow{}
+	}
+	var errs []error
+	for _, r := range rows {
+		if old, ok := v.rows[r.Key]; ok && monotonic && old.row.Version >= r.Version {
+			continue
+		}
+		if err := v.put(r); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	v.rev = rev
+	if ver, ok := v.rows[KeyVersion].rec.(VersionRow); ok {
+		v.n = ver.N
+	}
+	return errs
+}
+
+func (v *confView) put(r table.Row) error {
+	if r.Deleted {
+		v.rows[r.Key] = confRow{row: r}
+		return nil
+	}
+	rec, err := Decode(r.Key, r.Value)
+	if err != nil {
+		return err
+	}
+	v.rows[r.Key] = confRow{row: r, rec: rec}
+	return nil
+}
+
+// since returns the rows that were written after the revision.
+func (v *confView) since(rev uint64) []table.Row {
+	var rows []table.Row
+	for _, r := range v.rows {
+		if r.row.Version > rev {
+			rows = append(rows, r.row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows
+}
+
+func (v *confView) version(key string) uint64 {
+	r := v.rows[key]
+	if r.rec == nil {
+		return 0
+	}
+	return r.row.Version
+}
+
+func (v *confView) dc(n DC) (DCRow, bool) {
+	row, ok := v.rows[keyDC(n)].rec.(DCRow)
+	return row, ok
+}
+
+func (v *confView) service(n string) (ServiceRow, bool) {
+	row, ok := v.rows[keyService(n)].rec.(ServiceRow)
+	return row, ok
+}
+
+func (v *confView) team(n Team) (TeamRow, bool) {
+	row, ok := v.rows[keyTeam(n)].rec.(TeamRow)
+	return row, ok
+}
+
+func (v *confView) policy(n string) (float64, bool) {
+	row, ok := v.rows[keyPolicy(n)].rec.(PolicyRow)
+	return row.Value, ok
+}
+
+// list returns the records below a prefix, in no order.
+func (v *confView) list(prefix string) []Record {
+	var recs []Record
+	for k, r := range v.rows {
+		if r.rec != nil && strings.HasPrefix(k, prefix) {
+			recs = append(recs, r.rec)
+		}
+	}
+	return recs
+}
--- a/core/effect.go
+++ b/core/effect.go
@@ -19,6 +19,7 @@
 // Serve sends a request to an agent. It comes back as ServeAnswered.
 type Serve struct {
 	Call    Token
+	Name    string // unique name of this try, see ServeAsked.Call
 	Worker  WorkerID
 	Addr    netip.AddrPort
 	Inc     Incarnation
--- /dev/null
+++ b/core/entry.go
@@ -0,0 +1,226 @@
+package core
+
+import (
+	"time"
+
+	"jayloft/limit"
+	"jayloft/noise"
+	"jayloft/place"
+)
+
+// Entry is the reducer of an entry process. All entries are equal: each takes
+// requests and commands, and schedules the jobs of the shards it owns. Create
+// it with NewEntry.
+type Entry struct {
+	site EntrySite
+	pol  Policy
+
+	at    Stamp
+	out   []EntryEffect
+	token Token
+	waits map[Token]wait
+
+	config  confView
+	round   readRound
+	circuit limit.Circuit
+	writes  *limit.Rate
+	reads   *limit.Rate
+
+	workers    map[WorkerID]*workerView
+	index      place.Index
+	fences     map[WorkerID]fenceView
+	nextSus    time.Time // when silent workers are looked at again
+	nextClaims time.Time // when claims are looked at again
+	nextFence  time.Time // when the next fence may be written
+
+	peers  map[EntryID]*peerView
+	beatN  uint64
+	nextMe time.Time // when the own row is written again
+
+	shards [Shards]shardView
+	jobs   map[JobID]*jobView
+	queue  taskQueue
+	group  groupState
+	quota  limit.Quota
+
+	services map[string]*serviceView
+	requests map[RequestID]*request
+	timers   timerHeap
+	retries  *limit.Budget
+	hedges   *limit.Budget
+	gate     limit.Gate
+	recent   recentLog
+	noise    noise.Model
+
+	commands map[string]*command // by id, changes only
+
+	leaving bool
+	leaveBy time.Time
+	exited  bool
+	armed   time.Time
+}
+
+// wait is what an effect's answer will be matched to. The sealed set of waits
+// follows the effects that have answers.
+type wait interface{ wait() }
+
+// Burst sizes of the budgets.
+const (
+	storeBurst = 20
+	retryBurst = 20
+	hedgeBurst = 10
+)
+
+// NewEntry returns the reducer of one life of an entry process.
+func NewEntry(site EntrySite, opts ...Option) *Entry {
+	pol := newPolicy(opts)
+	return &Entry{
+		site: site, pol: pol,
+		waits:    map[Token]wait{},
+		writes:   limit.NewRate(pol.WritesPerSecond, storeBurst),
+		reads:    limit.NewRate(pol.ReadsPerSecond, storeBurst*2),
+		workers:  map[WorkerID]*workerView{},
+		fences:   map[WorkerID]fenceView{},
+		peers:    map[EntryID]*peerView{},
+		jobs:     map[JobID]*jobView{},
+		services: map[string]*serviceView{},
+		requests: map[RequestID]*request{},
+		retries:  limit.NewBudget(pol.RetryShare, retryBurst),
+		hedges:   limit.NewBudget(pol.HedgeShare, hedgeBurst),
+		commands: map[string]*command{},
+	}
+}
+
+// Reduce takes one event and returns what is to be done. The slice is valid
+// until the next call.
+func (e *Entry) Reduce(at Stamp, ev EntryEvent) []EntryEffect {
+	e.at = at
+	e.out = e.out[:0]
+	switch ev := ev.(type) {
+	case Tick:
+	case BeatHeard:
+		e.beatHeard(ev)
+	case RequestArrived:
+		e.requestArrived(ev.Request)
+	case RequestGone:
+		e.requestGone(ev.ID)
+	case HearAsked:
+		e.hearAsked(ev)
+	case CommandAsked:
+		e.commandAsked(ev)
+	case Leave:
+		e.leave(ev)
+	default:
+		e.answered(ev)
+	}
+	e.advance()
+	return e.out
+}
+
+// answered hands the answer to an effect to what waits for it. Answers that
+// come twice, or too late to matter, find nothing.
+func (e *Entry) answered(ev EntryEvent) {
+	switch ev := ev.(type) {
+	case ServeAnswered:
+		e.serveAnswered(ev)
+	case RevokeAnswered:
+		e.revokeAnswered(ev)
+	case CommitAnswered:
+		e.commitAnswered(ev)
+	case ChangesAnswered:
+		e.changesAnswered(ev)
+	case RowsAnswered:
+		e.rowsAnswered(ev)
+	case StartAnswered:
+		e.startAnswered(ev)
+	case SettleAnswered:
+		e.settleAnswered(ev)
+	case HearAnswered:
+		e.hearAnswered(ev)
+	}
+}
+
+// advance does all that is due at the present time.
+func (e *Entry) advance() {
+	if e.exited {
+		return
+	}
+	e.requestsDue()
+	e.readDue()
+	e.memberDue()
+	e.suspectDue()
+	e.claimsDue()
+	e.commandsDue()
+	e.schedule()
+	e.flushDue()
+	e.leaveDue()
+	e.arm()
+}
+
+// expect registers what waits for the answer of an effect.
+func (e *Entry) expect(w wait) Token {
+	e.token++
+	e.waits[e.token] = w
+	return e.token
+}
+
+// take returns what waits for a token, once.
+func (e *Entry) take(t Token) wait {
+	w := e.waits[t]
+	delete(e.waits, t)
+	return w
+}
+
+func (e *Entry) emit(eff EntryEffect) { e.out = append(e.out, eff) }
+
+func (e *Entry) count(name string, r Reason) { e.emit(Count{Name: name, Reason: r}) }
+
+func (e *Entry) note(text, subject, detail string) {
+	e.emit(Note{Text: text, Subject: subject, Detail: detail})
+}
+
+// ready reports whether the entry has read the configuration.
+func (e *Entry) ready() bool { return e.round.done > 0 }
+
+// Ready reports whether the entry may serve.
+func (e *Entry) Ready() bool { return e.ready() && !e.leaving }
+
+// leave begins a planned stop: nothing new is taken in.
+func (e *Entry) leave(ev Leave) {
+	if e.leaving {
+		return
+	}
+	e.leaving, e.leaveBy = true, ev.By
+	e.note("leaving", string(e.site.ID), "")
+}
+
+// leaveDue ends a planned stop once nothing is in flight.
+func (e *Entry) leaveDue() {
+	if !e.leaving {
+		return
+	}
+	idle := len(e.requests) == 0 && len(e.commands) == 0 && e.group.idle()
+	if !idle && e.at.Now.Before(e.leaveBy) {
+		return
+	}
+	e.exited = true
+	e.emit(Exit{})
+}
+
+// housekeeping is the longest time between two ticks.
+const housekeeping = 100 * time.Millisecond
+
+// arm asks for a tick at the next time at which something is due.
+func (e *Entry) arm() {
+	next := e.at.Now.Add(housekeeping)
+	next = earliest(next, e.timers.next())
+	next = earliest(next, e.flushAt())
+	if e.armed.After(e.at.Now) && !next.Before(e.armed) {
+		return
+	}
+	if !next.After(e.at.Now) {
+		next = e.at.Now.Add(minWake)
+	}
+	e.armed = next
+	e.emit(Wake{At: next})
+}
--- /dev/null
+++ b/core/entrybeat.go
@@ -0,0 +1,272 @@
+package core
+
+import (
+	"time"
+
+	"jayloft/place"
+	"jayloft/table"
+)
+
+// workerView is what an entry knows of one worker.
+type workerView struct {
+	id     WorkerID
+	inc    Incarnation // the one in use; empty before the first beat
+	past   map[Incarnation]bool
+	beat   Beat // the newest
+	heard  time.Time
+	silent bool
+
+	// cur and prev are the last two beats that may become the echo.
+	cur, prev echoMark
+	echo      time.Time
+
+	claims map[TaskID]*claim
+	orphan map[Attempt]time.Time // ends of jobs of other entries, first heard
+
+	asked    time.Time // when the other entries were asked about it
+	askedN   int       // answers missing
+	answersN int
+	elsewhen time.Time // when another entry said that it hears it
+
+	failures workerFailures
+}
+
+// echoMark is a beat's send time and the number of read rounds that had begun
+// when it was received. Any later round that succeeds makes it an echo.
+type echoMark struct {
+	sent  time.Time
+	round uint64
+}
+
+func (e *Entry) worker(id WorkerID) *workerView {
+	w := e.workers[id]
+	if w == nil {
+		w = &workerView{
+			id: id, past: map[Incarnation]bool{}, heard: e.at.Now,
+			claims: map[TaskID]*claim{}, orphan: map[Attempt]time.Time{},
+		}
+		e.workers[id] = w
+	}
+	return w
+}
+
+// beatHeard takes an agent's beat and answers it.
+func (e *Entry) beatHeard(ev BeatHeard) {
+	b := ev.Beat
+	w := e.worker(b.Worker)
+	for _, inc := range b.Gone {
+		e.vouched(w, inc)
+	}
+	ans := BeatAnswer{Config: e.config.rev, Entries: e.livePeers()}
+	e.configRows(&ans, b.Config)
+	switch {
+	case w.past[b.Inc] || e.fences[w.id].row.Has(b.Inc):
+		ans.Fenced = true
+		if w.inc == b.Inc {
+			w.silent = true
+			e.closeWorker(w)
+		}
+	case !e.current(w, b):
+		ans.Prior = w.inc
+	default:
+		e.takeBeat(w, b, &ans)
+		ans.Echo = w.echo
+		ans.Prior = w.unvouched()
+	}
+	e.emit(BeatReply{Token: ev.Token, Answer: ans})
+}
+
+// current reports whether the beat is of the incarnation in use, which it
+// becomes once the one before is known to be dead.
+func (e *Entry) current(w *workerView, b Beat) bool {
+	if w.inc == "" || (w.inc != b.Inc && w.past[w.inc]) {
+		w.inc = b.Inc
+		w.beat = Beat{}
+		w.cur, w.prev, w.echo = echoMark{}, echoMark{}, time.Time{}
+	}
+	return w.inc == b.Inc
+}
+
+// vouched learns from a worker's own agent that an incarnation is dead. What
+// it held can't run any more, so its claims move at once.
+func (e *Entry) vouched(w *workerView, inc Incarnation) {
+	if w.past[inc] {
+		return
+	}
+	w.past[inc] = true
+	for _, c := range w.claimList() {
+		if c.holder.Inc == inc {
+			e.lose(c, "its VM was restarted or replaced")
+		}
+	}
+}
+
+// unvouched returns an incarnation that claims still name, and that is neither
+// in use nor known to be dead.
+func (w *workerView) unvouched() Incarnation {
+	for _, c := range w.claimList() {
+		if c.holder.Inc != w.inc && !w.past[c.holder.Inc] {
+			return c.holder.Inc
+		}
+	}
+	return ""
+}
+
+// takeBeat brings the view of a worker up to date.
+func (e *Entry) takeBeat(w *workerView, b Beat, ans *BeatAnswer) {
+	e.markEcho(w, b.Sent)
+	w.heard = e.at.Now
+	w.asked = time.Time{}
+	if !b.Sent.After(w.beat.Sent) {
+		return
+	}
+	w.beat, w.silent = b, false
+	for _, t := range b.Running {
+		e.runningHeard(w, t, ans)
+	}
+	for _, end := range b.Ends {
+		e.endHeard(w, end, ans)
+	}
+	e.indexWorker(w)
+	e.routeWorker(w)
+}
+
+// markEcho keeps the send times that may be echoed. Beats received before a
+// round of reads began may be echoed once that round has succeeded.
+func (e *Entry) markEcho(w *workerView, sent time.Time) {
+	w.promote(e.round.done)
+	if w.cur.round < e.round.begun {
+		w.prev = w.cur
+	}
+	if sent.After(w.cur.sent) {
+		w.cur = echoMark{sent: sent, round: e.round.begun}
+	}
+	w.promote(e.round.done)
+}
+
+func (w *workerView) promote(done uint64) {
+	switch {
+	case done > w.cur.round:
+		w.echo = latest(w.echo, w.cur.sent)
+	case done > w.prev.round:
+		w.echo = latest(w.echo, w.prev.sent)
+	}
+}
+
+// configRows adds the configuration that an agent lacks.
+func (e *Entry) configRows(ans *BeatAnswer, have uint64) {
+	if have >= e.config.rev {
+		return
+	}
+	ans.Full = have == 0
+	ans.Rows = e.config.since(have)
+}
+
+// committed returns what a worker is committed to, with the claims that its
+// agent has not reported yet.
+func (w *workerView) committed() (all, batch Size) {
+	all, batch = w.beat.Committed, w.beat.Batch
+	for _, c := range w.claims {
+		if c.holder.Inc != w.inc || c.listed {
+			continue
+		}
+		all = all.Plus(c.size)
+		if !c.urgent {
+			batch = batch.Plus(c.size)
+		}
+	}
+	return all, batch
+}
+
+// usable reports whether a worker may be given new work, or why not.
+func (e *Entry) usable(w *workerView) (Reason, bool) {
+	if w.silent || w.inc == "" || w.beat.Sent.IsZero() {
+		return ReasonCut, false
+	}
+	if w.beat.Leaving {
+		return ReasonLeaving, false
+	}
+	dc, ok := e.config.dc(w.beat.DC)
+	if !ok {
+		return ReasonConfig, false
+	}
+	if dc.Out {
+		return ReasonLeaving, false
+	}
+	if e.fences[w.id].row.Has(w.inc) {
+		return ReasonIncarnation, false
+	}
+	return ReasonNone, true
+}
+
+// indexWorker brings the placement index up to date for one worker.
+func (e *Entry) indexWorker(w *workerView) {
+	if w.beat.Sent.IsZero() {
+		e.index.Remove(string(w.id))
+		return
+	}
+	_, ok := e.usable(w)
+	all, batch := w.committed()
+	e.index.Set(string(w.id), place.Worker{
+		DC: string(w.beat.DC), Rack: string(w.beat.Rack),
+		Capacity: w.beat.Capacity, Committed: all, Batch: batch,
+		Closed:  !ok || w.failures.quarantined(e.at.Now),
+		Penalty: w.failures.penalty() + e.disturbance(w),
+		Share:   e.ramp(w.beat.DC),
+	})
+	e.queue.blocked = false
+}
+
+// ramp returns the share of a returned data centre's room that is used.
+func (e *Entry) ramp(n DC) float64 {
+	dc, ok := e.config.dc(n)
+	if !ok || dc.Since.IsZero() || e.pol.RampFor <= 0 {
+		return 1
+	}
+	share := float64(e.at.Now.Sub(dc.Since)) / float64(e.pol.RampFor)
+	return min(max(share, minRamp), 1)
+}
+
+// minRamp is the share of a data centre that is used right after its return.
+const minRamp = 0.2
+
+// closeWorker stops new work for a worker.
+func (e *Entry) closeWorker(w *workerView) {
+	e.indexWorker(w)
+	e.routeWorker(w)
+}
+
+// fenceView is a fence row and when this entry learned of each incarnation.
+type fenceView struct {
+	row     FenceRow
+	version uint64
+	known   map[Incarnation]time.Time
+}
+
+// fenceRow takes a fence row from the table.
+func (e *Entry) fenceRow(r table.Row) {
+	id := WorkerID(r.Key[len(PrefixFence):])
+	f := e.fences[id]
+	if r.Version <= f.version {
+		return
+	}
+	f.version = r.Version
+	if f.known == nil {
+		f.known = map[Incarnation]time.Time{}
+	}
+	f.row = FenceRow{Worker: id}
+	if !r.Deleted {
+		rec, err := Decode(r.Key, r.Value)
+		if err != nil {
+			e.note("fence row passed over", r.Key, err.Error())
+			return
+		}
+		f.row, _ = rec.(FenceRow)
+	}
+	for _, inc := range f.row.Fenced {
+		if _, ok := f.known[inc]; !ok {
+			f.known[inc] = e.at.Now
+		}
+	}
+	e.fences[id] = f
+}
--- /dev/null
+++ b/core/entrycmd.go
@@ -0,0 +1,324 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"jayloft/limit"
+	"jayloft/table"
+)
+
+// Bounds on commands.
+const (
+	// commandFor is how long a command may take before it is answered.
+	commandFor = 5 * time.Second
+	// commandsMax bounds the commands in progress at one entry.
+	commandsMax = 512
+	// commandTries bounds how often a command that lost a race is tried.
+	commandTries = 8
+)
+
+// command is an operator's change in progress.
+type command struct {
+	id      string
+	text    string
+	cmd     Command
+	tokens  []Token
+	by      time.Time
+	again   time.Time // when to go on after a fault; zero while an answer is awaited
+	tries   int
+	sent    bool   // some transaction may have taken effect
+	target  uint64 // version of the changed row at the first read
+	seen    bool   // target is set
+	version uint64 // of the configuration that the transaction makes
+	reply   string // text of the result
+	job     *JobRow
+}
+
+// waitCommand waits for a read or a transaction of a command.
+type waitCommand struct{ c *command }
+
+// waitShow waits for the rows of a show.
+type waitShow struct {
+	token Token
+	cmd   Show
+}
+
+func (waitCommand) wait() {}
+func (waitShow) wait()    {}
+
+// commandAsked takes an operator's command in.
+func (e *Entry) commandAsked(ev CommandAsked) {
+	switch cmd := ev.Command.(type) {
+	case Show:
+		e.show(ev.Token, cmd)
+		return
+	case Why:
+		e.reply(ev.Token, e.why(cmd))
+		return
+	}
+	if why := e.checkCommand(); why != ReasonNone {
+		e.count("command", why)
+		e.reply(ev.Token, CommandResult{
+			Outcome: CommandRefused, Text: commandText[why], Version: e.config.n, RetryAfter: e.comeBack(),
+		})
+		return
+	}
+	if c := e.commands[ev.ID]; c != nil {
+		if c.text != ev.Text {
+			e.reply(ev.Token, CommandResult{Outcome: CommandRefused, Text: "the id is in use by another command"})
+			return
+		}
+		c.tokens = append(c.tokens, ev.Token)
+		return
+	}
+	c := &command{id: ev.ID, text: ev.Text, cmd: ev.Command, tokens: []Token{ev.Token}, by: e.at.Now.Add(commandFor)}
+	e.commands[ev.ID] = c
+	e.readCommand(c)
+}
+
+// checkCommand says why no command can be taken now.
+func (e *Entry) checkCommand() Reason {
+	switch {
+	case e.leaving:
+		return ReasonStopping
+	case !e.ready():
+		return ReasonConfig
+	case e.circuit.Open(e.at.Now):
+		return ReasonStore
+	case len(e.commands) >= commandsMax:
+		return ReasonOverload
+	}
+	return ReasonNone
+}
+
+var commandText = map[Reason]string{
+	ReasonStopping: "this entry is stopping: ask another one",
+	ReasonConfig:   "this entry has not read its configuration yet",
+	ReasonStore:    "the platform's table does not answer; nothing was changed",
+	ReasonOverload: "too many commands are in progress; nothing was changed",
+}
+
+// comeBack returns when the table will be tried again.
+func (e *Entry) comeBack() time.Duration {
+	return max(e.circuit.Probe(e.at.Now).Sub(e.at.Now), time.Second)
+}
+
+func (e *Entry) reply(t Token, r CommandResult) { e.emit(CommandReply{Token: t, Result: r}) }
+
+// finish answers a command for good.
+func (e *Entry) finish(c *command, r CommandResult) {
+	delete(e.commands, c.id)
+	e.count("command", Reason(r.Outcome))
+	for _, t := range c.tokens {
+		e.reply(t, r)
+	}
+}
+
+// commandsDue goes on with commands after a fault, or gives up on them.
+func (e *Entry) commandsDue() {
+	for _, id := range e.commandIDs() {
+		c := e.commands[id]
+		switch {
+		case !e.at.Now.Before(c.by):
+			e.expire(c)
+		case !c.again.IsZero() && !e.at.Now.Before(c.again) && !e.circuit.Open(e.at.Now):
+			c.again = time.Time{}
+			e.readCommand(c)
+		}
+	}
+}
+
+func (e *Entry) commandIDs() []string {
+	ids := make([]string, 0, len(e.commands))
+	for id := range e.commands {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// expire answers a command whose time is over. Only a command of which nothing
+// was ever sent is surely without effect.
+func (e *Entry) expire(c *command) {
+	if c.sent {
+		e.finish(c, CommandResult{
+			Outcome: CommandUnknown, Text: "the table's answer was lost; ask again with id " + c.id, RetryAfter: e.comeBack(),
+		})
+		return
+	}
+	e.finish(c, CommandResult{Outcome: CommandRefused, Text: commandText[ReasonStore], RetryAfter: e.comeBack()})
+}
+
+// readCommand reads the rows that a command depends on. The row of its id
+// tells whether it has taken effect already.
+func (e *Entry) readCommand(c *command) {
+	e.emit(ReadRows{Token: e.expect(waitCommand{c}), Keys: []string{keyOp(c.id), KeyVersion, commandKey(c)}})
+}
+
+// commandKey returns the key of the row that a command changes.
+func commandKey(c *command) string {
+	switch cmd := c.cmd.(type) {
+	case CreateService:
+		return keyService(cmd.Row.Name)
+	case CreateDC:
+		return keyDC(cmd.Row.Name)
+	case CreateTeam:
+		return keyTeam(cmd.Row.Name)
+	case CreateJob:
+		return keyJob(cmd.Spec.ID)
+	case CancelJob:
+		return keyJob(cmd.Job)
+	case Drain:
+		return keyDC(cmd.DC)
+	case Return:
+		return keyDC(cmd.DC)
+	case SetPolicy:
+		return keyPolicy(cmd.Row.Name)
+	}
+	return KeyVersion
+}
+
+// commandRead plans the transaction from fresh rows.
+func (e *Entry) commandRead(c *command, ev RowsAnswered) {
+	if e.commands[c.id] != c {
+		return
+	}
+	if ev.Fault != FaultNone || len(ev.View.Rows) != 3 {
+		e.storeFault("read")
+		c.again = e.circuit.Probe(e.at.Now)
+		return
+	}
+	op, ver, target := ev.View.Rows[0], ev.View.Rows[1], ev.View.Rows[2]
+	if op.Version > 0 && e.pol.on(guardOp) {
+		e.repeat(c, op)
+		return
+	}
+	if c.seen && c.target != target.Version {
+		e.lostRace(c, ver, target)
+		return
+	}
+	c.seen, c.target = true, target.Version
+	p, refused := e.plan(c, ver, target)
+	if refused != nil {
+		e.finish(c, *refused)
+		return
+	}
+	if !e.allowWrite(limit.PriorityHigh) {
+		c.again = e.writes.When(e.at.Now, limit.PriorityHigh)
+		return
+	}
+	e.sendCommand(c, p, ver, target)
+}
+
+// repeat answers a command that has taken effect before.
+func (e *Entry) repeat(c *command, op table.Row) {
+	rec, err := Decode(op.Key, op.Value)
+	row, ok := rec.(OpRow)
+	if err != nil || !ok || row.Stmt != c.text {
+		e.finish(c, CommandResult{Outcome: CommandRefused, Text: "the id was used for another command"})
+		return
+	}
+	e.finish(c, CommandResult{Outcome: CommandDone, Text: row.Text, Version: row.Version})
+}
+
+// lostRace tells the loser of a race what won.
+func (e *Entry) lostRace(c *command, ver, target table.Row) {
+	text := "another command came first: " + target.Key + " has changed"
+	if rec, err := Decode(target.Key, target.Value); err == nil && target.Version > 0 {
+		text = fmt.Sprintf("another command came first: %s is now %s", target.Key, describe(rec))
+	}
+	e.finish(c, CommandResult{Outcome: CommandConflict, Text: text, Version: versionOf(ver)})
+}
+
+func versionOf(r table.Row) uint64 {
+	if r.Version == 0 {
+		return 0
+	}
+	rec, err := Decode(r.Key, r.Value)
+	if err != nil {
+		return 0
+	}
+	row, _ := rec.(VersionRow)
+	return row.N
+}
+
+// describe says in a few words what a row holds.
+func describe(rec Record) string {
+	switch r := rec.(type) {
+	case DCRow:
+		if r.Out {
+			return "out, by " + r.By.UTC().Format(time.RFC3339)
+		}
+		return "in"
+	case PolicyRow:
+		return fmt.Sprint(r.Value)
+	case JobRow:
+		if r.Cancel {
+			return "cancelled"
+		}
+		return "accepted"
+	case ServiceRow:
+		return "a service with timeout " + r.Timeout.String()
+	case TeamRow:
+		return "a team with quota " + r.Quota.String()
+	}
+	return "changed"
+}
+
+// sendCommand sends the transaction: the changed row, the new version of the
+// configuration if it is part of that, and the command's result.
+func (e *Entry) sendCommand(c *command, p plan, ver, target table.Row) {
+	c.reply, c.version = p.text, versionOf(ver)
+	conds := []table.Cond{{Key: target.Key, Version: target.Version}}
+	recs := []Record{p.rec}
+	keys := []string{target.Key}
+	if p.config {
+		c.version++
+		conds = append(conds, table.Cond{Key: KeyVersion, Version: ver.Version})
+		recs = append(recs, VersionRow{N: c.version})
+		keys = append(keys, KeyVersion)
+	}
+	if e.pol.on(guardOp) {
+		conds = append(conds, table.Cond{Key: keyOp(c.id)})
+	}
+	recs = append(recs, OpRow{ID: c.id, Text: p.text, Version: c.version, By: e.site.ID, Stmt: c.text})
+	keys = append(keys, keyOp(c.id))
+	if row, ok := p.rec.(JobRow); ok {
+		c.job = &row
+	}
+	c.sent = true
+	e.commit(waitCommand{c}, conds, recs, keys)
+}
+
+// commandAnswered takes the table's answer. After a lost one the rows are read
+// again: the row of the command's id tells whether it took effect.
+func (e *Entry) commandAnswered(c *command, ev CommitAnswered) {
+	if e.commands[c.id] != c {
+		return
+	}
+	switch {
+	case ev.Fault == FaultCut && !e.pol.on(guardReadback):
+		e.finish(c, CommandResult{Outcome: CommandRefused, Text: commandText[ReasonStore]})
+	case ev.Fault != FaultNone:
+		c.again = latest(e.circuit.Probe(e.at.Now), e.at.Now.Add(minWake))
+	case ev.Result.Committed:
+		e.commandDone(c, ev.Result.Revision)
+	case c.tries >= commandTries:
+		e.finish(c, CommandResult{Outcome: CommandConflict, Text: "lost against other commands too often", RetryAfter: time.Second})
+	default:
+		c.tries++
+		e.readCommand(c)
+	}
+}
+
+func (e *Entry) commandDone(c *command, rev uint64) {
+	e.finish(c, CommandResult{Outcome: CommandDone, Text: c.reply, Version: c.version})
+	if c.job == nil || !e.shards[ShardOf(c.job.Spec.ID)].owned {
+		return
+	}
+	if b, err := Encode(*c.job); err == nil {
+		e.jobRow(table.Row{Key: keyJob(c.job.Spec.ID), Version: rev, Value: b})
+	}
+}
--- /dev/null
+++ b/core/entrygroup.go
@@ -0,0 +1,294 @@
+package core
+
+import (
+	"time"
+
+	"jayloft/limit"
+	"jayloft/table"
+)
+
+// groupState collects the edits of many jobs into one transaction at a time.
+// The longer the table takes to answer, the more edits share a transaction.
+type groupState struct {
+	dirty  []*jobView
+	flight *flight
+}
+
+// flight is the transaction in flight. After a lost answer the same one is
+// sent again: its conditions make that harmless, and the edits recognise a
+// copy that has taken effect.
+type flight struct {
+	jobs  []*jobView
+	rows  []JobRow
+	txn   table.Txn
+	again time.Time // when to send it again; zero while an answer is awaited
+}
+
+// waitGroup waits for the group's transaction.
+type waitGroup struct {
+	f *flight
+}
+
+func (waitGroup) wait() {}
+
+func (g *groupState) idle() bool { return len(g.dirty) == 0 && g.flight == nil }
+
+// edit adds a change to the next transaction. The same edit twice is one.
+func (e *Entry) edit(j *jobView, ed edit) {
+	if hasEdit(j.edits, ed) || hasEdit(j.flying, ed) {
+		return
+	}
+	j.edits = append(j.edits, ed)
+	e.dirty(j)
+}
+
+func hasEdit(edits []edit, ed edit) bool {
+	for _, old := range edits {
+		if sameEdit(old, ed) {
+			return true
+		}
+	}
+	return false
+}
+
+func sameEdit(a, b edit) bool {
+	x, ok := a.(endEdit)
+	y, both := b.(endEdit)
+	if ok && both {
+		return x.end.Attempt == y.end.Attempt
+	}
+	return a == b
+}
+
+func (e *Entry) dirty(j *jobView) {
+	if j.dirty || len(j.edits) == 0 {
+		return
+	}
+	j.dirty = true
+	e.group.dirty = append(e.group.dirty, j)
+}
+
+// flushAt returns when the next transaction may be sent; zero if none waits.
+func (e *Entry) flushAt() time.Time {
+	switch f := e.group.flight; {
+	case f != nil && !f.again.IsZero():
+		return f.again
+	case f != nil || len(e.group.dirty) == 0:
+		return time.Time{}
+	}
+	return e.writes.When(e.at.Now, limit.PriorityHigh)
+}
+
+// flushDue sends the next transaction, or the one whose answer was lost again.
+func (e *Entry) flushDue() {
+	if f := e.group.flight; f != nil {
+		if !f.again.IsZero() && !e.at.Now.Before(f.again) {
+			f.again = time.Time{}
+			e.count("retry", ReasonStore)
+			e.emit(Commit{Token: e.expect(waitGroup{f: f}), Txn: f.txn})
+		}
+		return
+	}
+	if len(e.group.dirty) == 0 || e.circuit.Open(e.at.Now) || !e.allowWrite(limit.PriorityHigh) {
+		return
+	}
+	f := e.buildFlight()
+	if f == nil {
+		return
+	}
+	e.group.flight = f
+	e.emit(Commit{Token: e.expect(waitGroup{f: f}), Txn: f.txn})
+}
+
+// buildFlight applies the edits of up to TxnRows jobs. Edits that have become
+// void or are in the table already need no write.
+func (e *Entry) buildFlight() *flight {
+	f := &flight{}
+	conds := map[string]uint64{}
+	dirty := e.group.dirty
+	e.group.dirty = nil
+	for i, j := range dirty {
+		if len(f.jobs) >= e.pol.TxnRows {
+			e.group.dirty = append(e.group.dirty, dirty[i:]...)
+			break
+		}
+		j.dirty = false
+		e.addJob(f, j, conds)
+	}
+	if len(f.jobs) == 0 {
+		return nil
+	}
+	for key, v := range conds {
+		f.txn.Conds = append(f.txn.Conds, table.Cond{Key: key, Version: v})
+	}
+	sortConds(f.txn.Conds)
+	return f
+}
+
+func (e *Entry) addJob(f *flight, j *jobView, conds map[string]uint64) {
+	row := j.row.copyTasks()
+	edits := j.edits
+	j.edits = nil
+	for _, ed := range edits {
+		if c, ok := ed.(claimEdit); ok && !e.claimHolds(c) {
+			e.voided(j, ed)
+			continue
+		}
+		switch ed.apply(&row, &e.pol) {
+		case editMade:
+			j.flying = append(j.flying, ed)
+			e.addConds(j, ed, conds)
+		case editDone:
+			e.settled(j, ed)
+		case editVoid:
+			e.voided(j, ed)
+		}
+	}
+	if len(j.flying) == 0 {
+		return
+	}
+	b, err := Encode(row)
+	if err != nil {
+		e.note("job not written", string(j.row.Spec.ID), err.Error())
+		j.flying = nil
+		return
+	}
+	key := keyJob(j.row.Spec.ID)
+	conds[key] = j.version
+	f.jobs = append(f.jobs, j)
+	f.rows = append(f.rows, row)
+	f.txn.Writes = append(f.txn.Writes, table.Write{Key: key, Value: b})
+}
+
+// claimHolds checks a claim against what the entry knows now of the data
+// centre and the fence.
+func (e *Entry) claimHolds(c claimEdit) bool {
+	w := e.workers[c.holder.Worker]
+	if w == nil || w.inc != c.holder.Inc {
+		return false
+	}
+	if e.pol.on(guardClaimFence) && e.fences[w.id].row.Has(c.holder.Inc) {
+		return false
+	}
+	dc, ok := e.config.dc(c.dc)
+	return !e.pol.on(guardClaimDC) || (ok && !dc.Out)
+}
+
+// addConds makes a claim depend on the rows that allow it, and takes the echo
+// for its start order: the rows are checked after the echo's beat was received.
+func (e *Entry) addConds(j *jobView, ed edit, conds map[string]uint64) {
+	c, ok := ed.(claimEdit)
+	if !ok {
+		return
+	}
+	if e.pol.on(guardClaimDC) {
+		conds[keyDC(c.dc)] = e.config.version(keyDC(c.dc))
+	}
+	if e.pol.on(guardClaimFence) {
+		conds[keyFence(c.holder.Worker)] = e.fences[c.holder.Worker].version
+	}
+	if cl := j.claims[c.n]; cl != nil {
+		cl.echo = e.workers[c.holder.Worker].cur.sent
+	}
+}
+
+// commitAnswered takes the table's answer to a transaction.
+func (e *Entry) commitAnswered(ev CommitAnswered) {
+	w := e.take(ev.Token)
+	if ev.Fault != FaultNone {
+		e.storeFault("write")
+	} else if w != nil {
+		e.circuit.Good(e.at.Now)
+	}
+	switch w := w.(type) {
+	case waitGroup:
+		e.groupAnswered(w.f, ev)
+	case waitFence:
+		e.fenceAnswered(w, ev)
+	case waitCommand:
+		e.commandAnswered(w.c, ev)
+	}
+}
+
+func (e *Entry) groupAnswered(f *flight, ev CommitAnswered) {
+	if f != e.group.flight {
+		return
+	}
+	if ev.Fault != FaultNone {
+		f.again = latest(e.circuit.Probe(e.at.Now), e.at.Now.Add(minWake))
+		return
+	}
+	e.group.flight = nil
+	if !ev.Result.Committed {
+		e.groupConflict(f, ev.Result.Conflicts)
+		return
+	}
+	for i, j := range f.jobs {
+		edits := j.flying
+		j.flying = nil
+		if ev.Result.Revision > j.version {
+			j.row, j.version = f.rows[i], ev.Result.Revision
+		}
+		for _, ed := range edits {
+			e.settled(j, ed)
+		}
+		e.leaveGuest(j)
+	}
+}
+
+// groupConflict takes the rows that stood in the way, and puts the edits back.
+func (e *Entry) groupConflict(f *flight, rows []table.Row) {
+	e.count("conflict", ReasonStore)
+	for _, j := range f.jobs {
+		j.edits = append(j.flying, j.edits...)
+		j.flying = nil
+		e.dirty(j)
+	}
+	for _, r := range rows {
+		e.conflictRow(r)
+	}
+}
+
+func (e *Entry) conflictRow(r table.Row) {
+	switch rec, _ := Decode(r.Key, r.Value); rec.(type) {
+	case JobRow:
+		e.jobRow(r)
+	case FenceRow:
+		e.fenceRow(r)
+	case DCRow:
+		e.config.apply([]table.Row{r}, e.config.rev, false, e.pol.on(guardConfig))
+		e.configChanged()
+	}
+}
+
+// settled acts on an edit that the table holds.
+func (e *Entry) settled(j *jobView, ed edit) {
+	n := ed.task()
+	e.reconcile(j, n)
+	if j.guest {
+		return
+	}
+	switch ed := ed.(type) {
+	case claimEdit:
+		e.order(j, ed)
+	case endEdit:
+		e.ended(j, ed)
+	}
+}
+
+// voided undoes what was assumed for an edit that the table won't hold.
+func (e *Entry) voided(j *jobView, ed edit) {
+	if c, ok := ed.(claimEdit); ok {
+		if cl := j.claims[c.n]; cl != nil && cl.attempt.Number == c.number && !cl.committed {
+			e.unclaim(j, cl)
+		}
+	}
+	e.reconcile(j, ed.task())
+}
+
+// leaveGuest forgets another entry's job once its edits are written.
+func (e *Entry) leaveGuest(j *jobView) {
+	if j.guest && len(j.edits) == 0 && len(j.flying) == 0 {
+		delete(e.jobs, j.row.Spec.ID)
+	}
+}
--- /dev/null
+++ b/core/entryjob.go
@@ -0,0 +1,285 @@
+package core
+
+import (
+	"time"
+
+	"jayloft/table"
+)
+
+// jobView is a job as this entry knows it.
+type jobView struct {
+	row     JobRow
+	version uint64
+	shard   int
+	guest   bool // of a shard that another entry owns; kept for one edit
+
+	edits  []edit // to be written
+	flying []edit // in the transaction that is in flight
+	dirty  bool   // listed in the group's queue
+
+	claims map[int]*claim // by task, decided or committed
+
+	avoid map[WorkerID]time.Time // workers that refused, until then
+	waits map[int]Reason         // why tasks wait
+	never time.Time              // since when no worker could hold a task
+}
+
+// claim is a task's claim as the entry that may have to order it sees it.
+type claim struct {
+	attempt Attempt
+	holder  Holder
+	size    Size
+	urgent  bool
+	once    bool
+	class   string
+
+	committed bool      // the table holds it
+	since     time.Time // when it was decided or loaded
+	echo      time.Time // for the start order
+	listed    bool      // the agent has reported it
+	heard     time.Time // when last
+	asking    bool      // a start or settle is in flight
+	stopSent  time.Time
+	losing    bool // a release is on its way
+}
+
+// jobRow takes a job's row from the table.
+func (e *Entry) jobRow(r table.Row) {
+	id := JobID(r.Key[len(shardPrefix(0)):])
+	j := e.jobs[id]
+	if j != nil && r.Version <= j.version {
+		return
+	}
+	if r.Deleted {
+		if j != nil {
+			e.forget(id, j)
+		}
+		return
+	}
+	rec, err := Decode(r.Key, r.Value)
+	if err != nil {
+		e.note("job row passed over", r.Key, err.Error())
+		e.count("decode", ReasonNone)
+		return
+	}
+	row, ok := rec.(JobRow)
+	if !ok || row.Spec.ID != id {
+		e.note("job row passed over", r.Key, "holds another job")
+		return
+	}
+	if j == nil {
+		shard := ShardOf(id)
+		j = &jobView{
+			shard: shard, guest: !e.shards[shard].owned,
+			claims: map[int]*claim{}, avoid: map[WorkerID]time.Time{}, waits: map[int]Reason{},
+		}
+		e.jobs[id] = j
+	}
+	j.row, j.version = row, r.Version
+	for n := range row.Tasks {
+		e.reconcile(j, n)
+	}
+}
+
+// forget drops a job from memory.
+func (e *Entry) forget(id JobID, j *jobView) {
+	for n := range j.row.Tasks {
+		e.queue.remove(TaskID{Job: id, N: n})
+		if c := j.claims[n]; c != nil {
+			e.unclaim(j, c)
+		}
+	}
+	if len(j.flying) == 0 && len(j.edits) == 0 {
+		delete(e.jobs, id)
+	} else {
+		j.guest = true
+	}
+}
+
+// reconcile brings the queue and the claims in line with one task of a row.
+func (e *Entry) reconcile(j *jobView, n int) {
+	t := &j.row.Tasks[n]
+	id := TaskID{Job: j.row.Spec.ID, N: n}
+	if j.guest {
+		return
+	}
+	if t.State == TaskClaimed {
+		e.queue.remove(id)
+		e.loadClaim(j, n)
+		return
+	}
+	if c := j.claims[n]; c != nil && c.attempt.Number <= t.Attempt {
+		e.unclaim(j, c)
+	}
+	if t.State != TaskWaiting {
+		e.queue.remove(id)
+		return
+	}
+	if j.row.Cancel {
+		e.edit(j, cancelEdit{n: n})
+		return
+	}
+	if !j.pending(n) {
+		e.queue.add(id, j.row.Spec.Urgent)
+	}
+}
+
+// pending reports whether an edit of the task is on its way to the table.
+func (j *jobView) pending(n int) bool {
+	for _, ed := range j.edits {
+		if ed.task() == n {
+			return true
+		}
+	}
+	for _, ed := range j.flying {
+		if ed.task() == n {
+			return true
+		}
+	}
+	return false
+}
+
+// loadClaim keeps track of a claim that the table holds.
+func (e *Entry) loadClaim(j *jobView, n int) {
+	t := &j.row.Tasks[n]
+	c := j.claims[n]
+	if c != nil && c.attempt.Number == t.Attempt && c.holder == t.Holder {
+		c.committed = true
+		return
+	}
+	if c != nil {
+		e.unclaim(j, c)
+	}
+	c = j.newClaim(n, t.Attempt, t.Holder, e.at.Now)
+	c.committed = true
+	e.claim(j, c)
+	if e.worker(t.Holder.Worker).past[t.Holder.Inc] {
+		e.lose(c, "its VM was restarted or replaced")
+	}
+}
+
+// claim keeps track of a claim and takes its room.
+func (e *Entry) claim(j *jobView, c *claim) {
+	w := e.worker(c.holder.Worker)
+	if old := w.claims[c.attempt.Task]; old != nil {
+		e.unclaim(j, old)
+	}
+	w.claims[c.attempt.Task] = c
+	j.claims[c.attempt.Task.N] = c
+	e.quota.Take(string(j.row.Spec.Team), c.size)
+	e.indexWorker(w)
+}
+
+// unclaim forgets a claim and gives its room back.
+func (e *Entry) unclaim(j *jobView, c *claim) {
+	w := e.worker(c.holder.Worker)
+	delete(w.claims, c.attempt.Task)
+	delete(j.claims, c.attempt.Task.N)
+	e.quota.Give(string(j.row.Spec.Team), c.size)
+	e.indexWorker(w)
+}
+
+func (j *jobView) newClaim(n int, number uint32, h Holder, now time.Time) *claim {
+	spec := &j.row.Spec
+	return &claim{
+		attempt: Attempt{Task: TaskID{Job: spec.ID, N: n}, Number: number},
+		holder:  h, size: spec.Size, urgent: spec.Urgent, once: spec.Once, class: spec.Class, since: now,
+	}
+}
+
+// lose releases a claim whose task can't be running any more.
+func (e *Entry) lose(c *claim, why string) {
+	j := e.jobs[c.attempt.Task.Job]
+	if j == nil || c.losing || !c.committed {
+		return
+	}
+	c.losing = true
+	end := End{Attempt: c.attempt, Kind: EndLost, Reason: why}
+	e.count("move", Reason(EndLost))
+	e.edit(j, endEdit{end: end, worker: c.holder.Worker})
+}
+
+// runningHeard takes an attempt that an agent says it holds.
+func (e *Entry) runningHeard(w *workerView, t Attempt, ans *BeatAnswer) {
+	if c := w.claims[t.Task]; c != nil && c.attempt == t {
+		c.listed, c.heard = true, e.at.Now
+		return
+	}
+	j := e.jobs[t.Task.Job]
+	if j == nil || t.Task.N >= len(j.row.Tasks) {
+		return
+	}
+	row := &j.row.Tasks[t.Task.N]
+	older := row.Attempt > t.Number
+	over := row.Attempt == t.Number && (row.State != TaskClaimed || row.Holder != Holder{w.id, w.inc})
+	if older || over {
+		ans.Moved = append(ans.Moved, t)
+	}
+}
+
+// orphanAfter is how long an end may go unrecorded by its job's owner before
+// any entry that hears it records it.
+const orphanAfter = 3 * time.Second
+
+// endHeard takes the end of an attempt. It is acknowledged only once the
+// table holds it, or a later fact that makes it void.
+func (e *Entry) endHeard(w *workerView, end End, ans *BeatAnswer) {
+	t := end.Attempt
+	j := e.jobs[t.Task.Job]
+	if j == nil || t.Task.N >= len(j.row.Tasks) {
+		e.orphanEnd(w, t)
+		return
+	}
+	row := &j.row.Tasks[t.Task.N]
+	if row.Attempt > t.Number || (row.Attempt == t.Number && row.State != TaskClaimed) {
+		delete(w.orphan, t)
+		ans.Recorded = append(ans.Recorded, t)
+		return
+	}
+	if row.Attempt < t.Number || (j.guest && !e.orphanEnd(w, t)) {
+		return
+	}
+	if c := w.claims[t.Task]; c != nil && c.attempt == t {
+		c.listed, c.heard = true, e.at.Now
+	}
+	e.edit(j, endEdit{end: end, worker: w.id})
+}
+
+// orphanEnd reports whether an end of another entry's job has gone unrecorded
+// for so long that this entry takes it up, and reads the job's row for that.
+func (e *Entry) orphanEnd(w *workerView, t Attempt) bool {
+	first, ok := w.orphan[t]
+	if !ok {
+		w.orphan[t] = e.at.Now
+		return false
+	}
+	if e.at.Now.Sub(first) < orphanAfter {
+		return false
+	}
+	w.orphan[t] = e.at.Now
+	e.emit(ReadRows{Token: e.expect(waitJob{}), Keys: []string{keyJob(t.Task.Job)}})
+	return true
+}
+
+// waitJob waits for the row of another entry's job.
+type waitJob struct{}
+
+func (waitJob) wait() {}
+
+// rowsAnswered takes single rows that were read.
+func (e *Entry) rowsAnswered(ev RowsAnswered) {
+	switch w := e.take(ev.Token).(type) {
+	case waitJob:
+		if ev.Fault != FaultNone {
+			e.storeFault("read")
+			return
+		}
+		for _, r := range ev.View.Rows {
+			if r.Version > 0 {
+				e.jobRow(r)
+			}
+		}
+	case waitCommand:
+		e.commandRead(w.c, ev)
+	}
+}
--- /dev/null
+++ b/core/entrymember.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"net/netip"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayloft/limit"
+	"jayloft/table"
+)
+
+// peerView is another entry, or this one, as its row in the table shows it.
+type peerView struct {
+	row     EntryRow
+	version uint64
+	changed time.Time // when the row was last seen to change
+}
+
+// shardView is a shard of jobs.
+type shardView struct {
+	owned   bool
+	loaded  bool
+	since   uint64
+	reading bool
+}
+
+// waitMember waits for the write of the own row.
+type waitMember struct{}
+
+func (waitMember) wait() {}
+
+// memberDue writes the own row every now and then, as a heartbeat.
+func (e *Entry) memberDue() {
+	if e.at.Now.Before(e.nextMe) || !e.ready() || e.leaving || e.circuit.Open(e.at.Now) {
+		return
+	}
+	e.nextMe = e.at.Now.Add(e.pol.EntryDead / 3)
+	e.beatN++
+	row := EntryRow{ID: e.site.ID, Addr: e.site.Addr.String(), Beat: e.beatN}
+	e.commit(waitMember{}, nil, []Record{row}, []string{keyEntry(e.site.ID)})
+	e.dropDead()
+}
+
+// dropDead forgets rows of entries that died long ago, and deletes them.
+func (e *Entry) dropDead() {
+	for _, id := range e.peerIDs() {
+		p := e.peers[id]
+		if e.at.Now.Sub(p.changed) < 10*e.pol.EntryDead || id == e.site.ID {
+			continue
+		}
+		delete(e.peers, id)
+		key := keyEntry(id)
+		txn := table.Txn{
+			Conds:  []table.Cond{{Key: key, Version: p.version}},
+			Writes: []table.Write{{Key: key, Delete: true}},
+		}
+		e.emit(Commit{Token: e.expect(waitMember{}), Txn: txn})
+		return
+	}
+}
+
+func (e *Entry) peerIDs() []EntryID {
+	ids := make([]EntryID, 0, len(e.peers))
+	for id := range e.peers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// commit sends a transaction with encoded records.
+func (e *Entry) commit(w wait, conds []table.Cond, recs []Record, keys []string) {
+	txn := table.Txn{Conds: conds}
+	for i, rec := range recs {
+		b, err := Encode(rec)
+		if err != nil {
+			e.note("record not written", keys[i], err.Error())
+			return
+		}
+		txn.Writes = append(txn.Writes, table.Write{Key: keys[i], Value: b})
+	}
+	e.emit(Commit{Token: e.expect(w), Txn: txn})
+}
+
+// peerRow takes an entry's row that has changed.
+func (e *Entry) peerRow(r table.Row) {
+	if r.Deleted {
+		id := EntryID(r.Key[len(PrefixEntry):])
+		delete(e.peers, id)
+		return
+	}
+	rec, err := Decode(r.Key, r.Value)
+	if err != nil {
+		e.note("entry row passed over", r.Key, err.Error())
+		return
+	}
+	row, ok := rec.(EntryRow)
+	if !ok {
+		return
+	}
+	p := e.peers[row.ID]
+	if p == nil {
+		p = &peerView{}
+		e.peers[row.ID] = p
+	}
+	if r.Version > p.version {
+		p.row, p.version, p.changed = row, r.Version, e.at.Now
+	}
+}
+
+// live returns the ids of the entries that seem alive, this one included. In
+// an outage of the table no row changes, so rows age only by reads that work.
+func (e *Entry) live() []EntryID {
+	ids := []EntryID{}
+	for _, id := range e.peerIDs() {
+		p := e.peers[id]
+		if id != e.site.ID && e.round.doneAt.Sub(p.changed) < e.pol.EntryDead {
+			ids = append(ids, id)
+		}
+	}
+	if !e.leaving {
+		ids = append(ids, e.site.ID)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// livePeers returns the addresses of the other live entries.
+func (e *Entry) livePeers() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, id := range e.live() {
+		if id == e.site.ID {
+			continue
+		}
+		if addr, err := netip.ParseAddrPort(e.peers[id].row.Addr); err == nil {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+// recognize settles which shards this entry owns, by rendezvous hashing: the
+// live entry with the highest hash of its id and the shard. A stale view only
+// costs lost conditional writes.
+func (e *Entry) recognize() {
+	live := e.live()
+	for s := range e.shards {
+		sh := &e.shards[s]
+		owned := owner(s, live) == e.site.ID
+		if owned == sh.owned {
+			continue
+		}
+		sh.owned = owned
+		if owned {
+			sh.loaded, sh.since = false, 0
+		} else {
+			e.dropShard(s)
+		}
+	}
+}
+
+func owner(shard int, live []EntryID) EntryID {
+	var best EntryID
+	var top uint64
+	for _, id := range live {
+		h := xxhash.Sum64String(string(id) + "/" + shardPrefix(shard))
+		if best == "" || h > top {
+			best, top = id, h
+		}
+	}
+	return best
+}
+
+// dropShard forgets the jobs of a shard that another entry owns now. Edits in
+// flight go on: their conditions decide.
+func (e *Entry) dropShard(s int) {
+	for _, id := range e.jobIDs(s) {
+		e.forget(id, e.jobs[id])
+	}
+}
+
+// jobIDs returns the jobs of a shard in order.
+func (e *Entry) jobIDs(shard int) []JobID {
+	var ids []JobID
+	for id, j := range e.jobs {
+		if j.shard == shard {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// readShards reads what has changed in the owned shards. Shards that aren't
+// loaded come first, a few at a time.
+func (e *Entry) readShards() {
+	loading := 0
+	for s := range e.shards {
+		sh := &e.shards[s]
+		if !sh.owned || sh.reading {
+			continue
+		}
+		if !sh.loaded && loading >= shardLoads {
+			continue
+		}
+		if !e.reads.Allow(e.at.Now, limit.PriorityMid) {
+			e.count("store.wait", ReasonBudget)
+			return
+		}
+		if !sh.loaded {
+			loading++
+		}
+		sh.reading = true
+		t := e.expect(waitShard{shard: s, since: sh.since})
+		e.emit(ReadChanges{Token: t, Prefix: shardPrefix(s), Since: sh.since})
+	}
+}
+
+// shardLoads bounds the shards that are loaded whole in one round.
+const shardLoads = 16
+
+func (e *Entry) shardAnswered(w waitShard, ev ChangesAnswered) {
+	sh := &e.shards[w.shard]
+	sh.reading = false
+	if ev.Fault != FaultNone {
+		e.storeFault("read")
+		return
+	}
+	if !sh.owned {
+		return
+	}
+	sh.loaded = true
+	sh.since = max(sh.since, ev.View.Revision)
+	for _, r := range ev.View.Rows {
+		e.jobRow(r)
+	}
+}
--- /dev/null
+++ b/core/entryread.go
@@ -0,0 +1,163 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"jayloft/limit"
+	"jayloft/table"
+)
+
+// readRound is the regular read of the configuration, the entries and the
+// fences. Only a round whose parts were all read counts as a read of the table.
+type readRound struct {
+	next    time.Time
+	started time.Time // of the round in flight; zero if none
+	begun   uint64    // number of rounds started
+	done    uint64    // number of the last round that succeeded
+	doneAt  time.Time // when that one began
+	open    int       // answers missing
+	failed  bool
+	since   [3]uint64
+}
+
+// roundPrefixes are read in each round.
+var roundPrefixes = [3]string{PrefixConfig, PrefixEntry, PrefixFence}
+
+// waitRound waits for one part of a round.
+type waitRound struct {
+	part int
+}
+
+// waitShard waits for the changes of one shard.
+type waitShard struct {
+	shard int
+	since uint64
+}
+
+func (waitRound) wait() {}
+func (waitShard) wait() {}
+
+// readDue starts a round, and reads the owned shards.
+func (e *Entry) readDue() {
+	if e.at.Now.Before(e.round.next) || e.round.open > 0 {
+		return
+	}
+	if e.circuit.Open(e.at.Now) {
+		e.round.next = e.circuit.Probe(e.at.Now)
+		return
+	}
+	e.round.next = e.at.Now.Add(e.pol.ReadEvery)
+	e.round.started, e.round.failed = e.at.Now, false
+	e.round.begun++
+	e.round.open = len(roundPrefixes)
+	for i, prefix := range roundPrefixes {
+		t := e.expect(waitRound{part: i})
+		e.emit(ReadChanges{Token: t, Prefix: prefix, Since: e.round.since[i]})
+	}
+	e.readShards()
+}
+
+// changesAnswered takes rows that were read.
+func (e *Entry) changesAnswered(ev ChangesAnswered) {
+	switch w := e.take(ev.Token).(type) {
+	case waitRound:
+		e.roundAnswered(w, ev)
+	case waitShard:
+		e.shardAnswered(w, ev)
+	case waitShow:
+		e.showAnswered(w, ev)
+	}
+}
+
+func (e *Entry) roundAnswered(w waitRound, ev ChangesAnswered) {
+	e.round.open--
+	if ev.Fault != FaultNone {
+		e.round.failed = true
+		e.storeFault("read")
+	} else {
+		e.circuit.Good(e.at.Now)
+		e.roundPart(w.part, ev.View)
+	}
+	if e.round.open > 0 || e.round.failed {
+		return
+	}
+	first := !e.ready()
+	e.round.done, e.round.doneAt = e.round.begun, e.round.started
+	e.recognize()
+	if first {
+		e.note("ready", string(e.site.ID), fmt.Sprintf("configuration %d", e.config.n))
+	}
+}
+
+// storeFault counts a failed call of the table and opens the circuit.
+func (e *Entry) storeFault(what string) {
+	e.circuit.Bad(e.at.Now, e.at.Seed)
+	e.count("store."+what, ReasonStore)
+}
+
+func (e *Entry) roundPart(part int, v table.View) {
+	full := e.round.since[part] == 0
+	e.round.since[part] = max(e.round.since[part], v.Revision)
+	switch roundPrefixes[part] {
+	case PrefixConfig:
+		e.applyConfig(v, full)
+	case PrefixEntry:
+		for _, r := range v.Rows {
+			e.peerRow(r)
+		}
+	case PrefixFence:
+		for _, r := range v.Rows {
+			e.fenceRow(r)
+		}
+	}
+}
+
+// applyConfig merges changed configuration and acts on it.
+func (e *Entry) applyConfig(v table.View, full bool) {
+	rev := e.config.rev
+	for _, r := range v.Rows {
+		if r.Key == KeyVersion {
+			rev = r.Version
+		}
+	}
+	for _, err := range e.config.apply(v.Rows, rev, full && e.config.rev == 0, e.pol.on(guardConfig)) {
+		e.note("configuration row passed over", "", err.Error())
+		e.count("decode", ReasonConfig)
+	}
+	if len(v.Rows) > 0 || full {
+		e.policyChanged()
+		e.configChanged()
+	}
+}
+
+// configChanged brings all that follows from the configuration up to date.
+func (e *Entry) configChanged() {
+	for _, id := range e.workerIDs() {
+		e.indexWorker(e.workers[id])
+		e.routeWorker(e.workers[id])
+	}
+	e.queue.blocked = false
+}
+
+func (e *Entry) workerIDs() []WorkerID {
+	ids := make([]WorkerID, 0, len(e.workers))
+	for id := range e.workers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// policyChanged takes over the numbers that operators have set.
+func (e *Entry) policyChanged() {
+	for _, rec := range e.config.list(PrefixConfig + "policy/") {
+		if row, ok := rec.(PolicyRow); ok {
+			e.pol.set(row.Name, row.Value)
+		}
+	}
+}
+
+// allowWrite takes from the budget of transactions.
+func (e *Entry) allowWrite(p limit.Priority) bool { return e.writes.Allow(e.at.Now, p) }
--- /dev/null
+++ b/core/entryreq.go
@@ -0,0 +1,504 @@
+package core
+
+import (
+	"container/heap"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"jayloft/route"
+)
+
+// serviceView is a service as an entry sees it.
+type serviceView struct {
+	name string
+	set  route.Set
+}
+
+// request is a caller's request that has no final answer yet.
+type request struct {
+	Request
+	sv      *serviceView
+	arrived time.Time
+	calls   map[Token]*call
+	tried   []string // workers
+	tries   int
+	hedged  bool
+	refused Reason // of the last refusal
+	failed  *ServeAnswer
+	failAt  WorkerID
+	maybe   bool // some call may have run it, and its answer will not come
+	wait    time.Duration
+}
+
+// call is one try of a request at one worker.
+type call struct {
+	req    *request
+	worker WorkerID
+	sent   time.Time
+	addr   netip.AddrPort
+	run    Run
+	asking bool // its outcome is asked for with Revoke
+}
+
+// Numbers of the callers' path.
+const (
+	// defaultTimeout is the longest deadline of a service that sets none.
+	defaultTimeout = 10 * time.Second
+	// askAgain is the time between two questions about a request whose
+	// answer was lost.
+	askAgain = 50 * time.Millisecond
+	// leastRetryAfter is the shortest time to come back after a refusal.
+	leastRetryAfter = 100 * time.Millisecond
+)
+
+// timerKind says what is due for a request.
+type timerKind uint8
+
+const (
+	timerDeadline timerKind = iota
+	timerHedge
+	timerAsk
+)
+
+type timer struct {
+	at   time.Time
+	kind timerKind
+	id   RequestID
+	call Token
+}
+
+// timerHeap holds what is due for requests, earliest first.
+type timerHeap struct{ ts []timer }
+
+func (h *timerHeap) Len() int           { return len(h.ts) }
+func (h *timerHeap) Less(i, j int) bool { return h.ts[i].at.Before(h.ts[j].at) }
+func (h *timerHeap) Swap(i, j int)      { h.ts[i], h.ts[j] = h.ts[j], h.ts[i] }
+
+// Push adds a timer; see container/heap.
+func (h *timerHeap) Push(x any) { h.ts = append(h.ts, x.(timer)) }
+
+// Pop takes the last timer; see container/heap.
+func (h *timerHeap) Pop() any {
+	t := h.ts[len(h.ts)-1]
+	h.ts = h.ts[:len(h.ts)-1]
+	return t
+}
+
+func (h *timerHeap) next() time.Time {
+	if len(h.ts) == 0 {
+		return time.Time{}
+	}
+	return h.ts[0].at
+}
+
+// requestsDue does what is due for requests.
+func (e *Entry) requestsDue() {
+	for len(e.timers.ts) > 0 && !e.timers.ts[0].at.After(e.at.Now) {
+		t := heap.Pop(&e.timers).(timer)
+		r := e.requests[t.id]
+		if r == nil {
+			continue
+		}
+		switch t.kind {
+		case timerDeadline:
+			e.deadline(r)
+		case timerHedge:
+			e.hedge(r)
+		case timerAsk:
+			e.ask(r, t.call)
+		}
+	}
+}
+
+func (e *Entry) after(at time.Time, kind timerKind, id RequestID, call Token) {
+	heap.Push(&e.timers, timer{at: at, kind: kind, id: id, call: call})
+}
+
+// routeWorker brings the services that a worker serves up to date.
+func (e *Entry) routeWorker(w *workerView) {
+	_, ok := e.usable(w)
+	for _, l := range w.beat.Services {
+		if _, known := e.config.service(l.Service); !known {
+			continue
+		}
+		sv := e.service(l.Service)
+		sv.set.Put(string(w.id), w.beat.Slots, e.at.Now)
+		sv.set.Close(string(w.id), !ok)
+		if ok {
+			sv.set.Load(string(w.id), l.Running, l.Queued, e.at.Now)
+		}
+	}
+}
+
+func (e *Entry) service(name string) *serviceView {
+	sv := e.services[name]
+	if sv == nil {
+		sv = &serviceView{name: name}
+		e.services[name] = sv
+	}
+	return sv
+}
+
+// requestArrived takes a request in, or refuses it at once.
+func (e *Entry) requestArrived(q Request) {
+	row, known := e.config.service(q.Service)
+	timeout := row.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if limit := e.at.Now.Add(timeout); q.Deadline.IsZero() || q.Deadline.After(limit) {
+		q.Deadline = limit
+	}
+	q.Idempotent = q.Idempotent || row.Idempotent
+	if q.Team == "" {
+		q.Team = row.Team
+	}
+	r := &request{Request: q, arrived: e.at.Now, calls: map[Token]*call{}}
+	if why := e.checkRequest(r, known); why != ReasonNone {
+		e.turnAway(r, why)
+		return
+	}
+	r.sv = e.service(q.Service)
+	team, _ := e.config.team(q.Team)
+	wait := r.sv.set.Wait(e.at.Now)
+	ok, back := e.gate.Admit(e.at.Now, string(q.Team), max(team.Weight, 1), wait, q.Deadline, e.at.Seed)
+	if !ok {
+		r.wait = back
+		e.turnAway(r, ReasonOverload)
+		return
+	}
+	e.requests[q.ID] = r
+	e.retries.Fresh()
+	e.hedges.Fresh()
+	e.after(q.Deadline, timerDeadline, q.ID, 0)
+	e.try(r)
+}
+
+func (e *Entry) checkRequest(r *request, known bool) Reason {
+	switch {
+	case e.leaving:
+		return ReasonStopping
+	case !e.ready():
+		return ReasonConfig
+	case !known:
+		return ReasonService
+	case e.requests[r.ID] != nil:
+		return ReasonDuplicate
+	case e.recent.ran(r.ID):
+		return ReasonDuplicate
+	case !r.Deadline.After(e.at.Now):
+		return ReasonDeadline
+	}
+	return ReasonNone
+}
+
+// turnAway answers a request that was never tried. An id in use is the one
+// case where the request may have run, under the same id.
+func (e *Entry) turnAway(r *request, why Reason) {
+	outcome := OutcomeRefused
+	if why == ReasonDuplicate {
+		outcome = OutcomeUnknown
+	}
+	e.count("refuse", why)
+	ans := Answer{ID: r.ID, Outcome: outcome, Reason: why, Text: refusalText[why], RetryAfter: e.retryAfter(r)}
+	e.recent.add(r, ans, e.at.Now)
+	e.emit(ans)
+}
+
+// refusalText explains refusals to callers.
+var refusalText = map[Reason]string{
+	ReasonStopping:  "this entry is stopping; another one will take the request",
+	ReasonConfig:    "this entry has not read its configuration yet",
+	ReasonService:   "no service of this name is configured",
+	ReasonDuplicate: "a request with this id is running or has run",
+	ReasonDeadline:  "the request can't be done before its deadline",
+	ReasonOverload:  "the expected wait exceeds the deadline",
+	ReasonEndpoints: "no endpoint of the service can take work now",
+	ReasonBudget:    "the budget for further tries is spent",
+	ReasonQueue:     "the queues of the endpoints are full",
+}
+
+// try sends the request to one more worker, or gives up if there is none.
+func (e *Entry) try(r *request) {
+	id, _, ok := r.sv.set.Pick(e.at.Now, e.at.Seed+uint64(len(r.tried))*0x9e3779b97f4a7c15, r.tried)
+	if !ok {
+		why := r.refused
+		if why == ReasonNone {
+			why = ReasonEndpoints
+		}
+		e.giveUp(r, why)
+		return
+	}
+	w := e.workers[WorkerID(id)]
+	r.tried = append(r.tried, id)
+	r.tries++
+	r.sv.set.Sent(id, e.at.Now)
+	c := &call{req: r, worker: w.id, sent: e.at.Now, addr: w.beat.Addr, run: w.beat.Run}
+	t := e.expect(waitServe{c})
+	r.calls[t] = c
+	e.emit(Serve{Call: t, Name: e.callName(t), Worker: w.id, Addr: c.addr, Inc: w.inc, Run: c.run, Request: r.Request})
+	if r.tries == 1 && r.Idempotent {
+		if q := r.sv.set.Quantile(e.pol.HedgeQuantile); q > 0 {
+			e.after(e.at.Now.Add(q), timerHedge, r.ID, 0)
+		}
+	}
+}
+
+// callName returns a name for a try that no other entry or life uses.
+func (e *Entry) callName(t Token) string {
+	return string(e.site.ID) + "/" + strconv.FormatUint(uint64(t), 36)
+}
+
+// hedge sends an idempotent request that takes unusually long to a second
+// worker, within the budgets.
+func (e *Entry) hedge(r *request) {
+	if r.hedged || len(r.calls) != 1 || r.sv.set.Len() < 2 {
+		return
+	}
+	if !e.hedges.Spend() || !e.retries.Spend() {
+		e.count("hedge.refused", ReasonBudget)
+		return
+	}
+	r.hedged = true
+	e.count("hedge", ReasonNone)
+	e.tryElsewhere(r)
+}
+
+// tryElsewhere makes one more try if some worker is left; a call still open
+// decides otherwise.
+func (e *Entry) tryElsewhere(r *request) {
+	if len(r.calls) == 0 {
+		e.try(r)
+		return
+	}
+	if _, _, ok := r.sv.set.Pick(e.at.Now, e.at.Seed, r.tried); ok {
+		e.try(r)
+	}
+}
+
+// waitServe waits for an agent's answer to a request.
+type waitServe struct{ c *call }
+
+// waitRevoke waits for an agent's word on a request.
+type waitRevoke struct {
+	c     *call
+	serve Token
+}
+
+func (waitServe) wait()  {}
+func (waitRevoke) wait() {}
+
+// serveAnswered takes an agent's answer to one try.
+func (e *Entry) serveAnswered(ev ServeAnswered) {
+	q, ok := e.take(ev.Call).(waitServe)
+	if !ok {
+		return
+	}
+	c, r := q.c, q.c.req
+	e.routed(c, ev)
+	if e.requests[r.ID] != r {
+		return // answered already
+	}
+	if ev.Fault == FaultCut || (ev.Fault == FaultNone && ev.Answer.Outcome == OutcomeUnknown) {
+		e.cut(r, ev.Call)
+		return
+	}
+	delete(r.calls, ev.Call)
+	switch {
+	case ev.Fault == FaultNotSent:
+		e.refusedTry(r, c, ReasonCut, 0)
+	case ev.Answer.ID != r.ID:
+		e.count("foreign", ReasonDuplicate)
+		r.maybe = true
+		e.again(r)
+	default:
+		e.takeAnswer(r, c, ev.Answer)
+	}
+}
+
+// routed tells the router how a try went.
+func (e *Entry) routed(c *call, ev ServeAnswered) {
+	result := route.Good
+	switch {
+	case ev.Fault != FaultNone:
+		result = route.Cut
+	case ev.Answer.Outcome == OutcomeRefused:
+		result = route.Refused
+	case ev.Answer.Outcome == OutcomeFailed:
+		result = route.Bad
+	case ev.Answer.Outcome == OutcomeUnknown:
+		result = route.Cut
+	}
+	set := &c.req.sv.set
+	set.Done(string(c.worker), e.at.Now, e.at.Now.Sub(c.sent), result)
+	if ev.Fault == FaultNone {
+		set.Load(string(c.worker), ev.Answer.Running, ev.Answer.Queued, e.at.Now)
+	}
+}
+
+// takeAnswer passes a whole answer on, or tries elsewhere.
+func (e *Entry) takeAnswer(r *request, c *call, a ServeAnswer) {
+	switch a.Outcome {
+	case OutcomeDone:
+		e.observe(r, c)
+		e.answer(r, Answer{Outcome: OutcomeDone, Body: a.Body, Worker: c.worker})
+	case OutcomeRefused:
+		e.refusedTry(r, c, a.Reason, a.Wait)
+	case OutcomeFailed:
+		r.failed, r.failAt = &a, c.worker
+		e.again(r)
+	}
+}
+
+// refusedTry handles a try that surely didn't run.
+func (e *Entry) refusedTry(r *request, _ *call, why Reason, wait time.Duration) {
+	r.refused, r.wait = why, wait
+	e.again(r)
+}
+
+// again tries a request once more if it may run once more and the budget
+// allows; else it gives up, unless a call is still open.
+func (e *Entry) again(r *request) {
+	if len(r.calls) > 0 {
+		return
+	}
+	ran := r.failed != nil || r.maybe
+	if ran && !r.Idempotent && e.pol.on(guardAmbiguous) {
+		e.giveUp(r, r.refused)
+		return
+	}
+	if !e.retries.Spend() {
+		e.count("retry.refused", ReasonBudget)
+		why := r.refused
+		if why == ReasonNone {
+			why = ReasonBudget
+		}
+		e.giveUp(r, why)
+		return
+	}
+	why := r.refused
+	if ran {
+		why = ReasonCut
+		if r.failed != nil {
+			why = Reason(OutcomeFailed)
+		}
+	}
+	e.count("retry", why)
+	e.try(r)
+}
+
+// cut handles a try whose answer won't come. An idempotent request goes
+// elsewhere; of any other the agent is asked what became of it.
+func (e *Entry) cut(r *request, t Token) {
+	e.count("cut", ReasonCut)
+	if r.Idempotent || !e.pol.on(guardAmbiguous) {
+		delete(r.calls, t)
+		r.maybe = true
+		e.again(r)
+		return
+	}
+	e.ask(r, t)
+}
+
+// ask asks an agent to take a request back, and what became of it.
+func (e *Entry) ask(r *request, t Token) {
+	c := r.calls[t]
+	if c == nil || c.asking {
+		return
+	}
+	c.asking = true
+	e.emit(Revoke{Call: e.expect(waitRevoke{c: c, serve: t}), Addr: c.addr, Run: c.run, ID: r.ID, By: r.Deadline})
+}
+
+func (e *Entry) revokeAnswered(ev RevokeAnswered) {
+	q, ok := e.take(ev.Call).(waitRevoke)
+	if !ok {
+		return
+	}
+	c, r := q.c, q.c.req
+	c.asking = false
+	if e.requests[r.ID] != r || r.calls[q.serve] != c {
+		return
+	}
+	if ev.Fault != FaultNone || ev.State == RevokeRunning {
+		e.after(e.at.Now.Add(askAgain), timerAsk, r.ID, q.serve)
+		return
+	}
+	delete(r.calls, q.serve)
+	switch ev.State {
+	case RevokeNever:
+		e.refusedTry(r, c, ReasonCut, 0)
+	case RevokeResult:
+		e.resultOf(r, c, ev.Answer)
+	default:
+		r.maybe = true
+		e.giveUp(r, ReasonCut)
+	}
+}
+
+func (e *Entry) resultOf(r *request, c *call, a ServeAnswer) {
+	if a.Outcome == OutcomeUnknown || a.ID != r.ID {
+		r.maybe = true
+		e.giveUp(r, ReasonCut)
+		return
+	}
+	e.takeAnswer(r, c, a)
+}
+
+// giveUp answers a request that won't be tried again, at once.
+func (e *Entry) giveUp(r *request, why Reason) {
+	switch {
+	case r.failed != nil:
+		e.answer(r, Answer{Outcome: OutcomeFailed, Reason: why, Text: r.failed.Text, Body: r.failed.Body, Worker: r.failAt})
+	case r.maybe || len(r.calls) > 0:
+		e.count("unknown", why)
+		e.answer(r, Answer{Outcome: OutcomeUnknown, Reason: why, Text: "the request may have run"})
+	default:
+		e.count("refuse", why)
+		e.answer(r, Answer{Outcome: OutcomeRefused, Reason: why, Text: refusalText[why], RetryAfter: e.retryAfter(r)})
+	}
+}
+
+// deadline gives up on a request whose time is over.
+func (e *Entry) deadline(r *request) { e.giveUp(r, ReasonDeadline) }
+
+// retryAfter returns when a refused caller should come back: after the wait
+// that was measured, spread by the seed so that callers don't return together.
+func (e *Entry) retryAfter(r *request) time.Duration {
+	wait := max(r.wait, leastRetryAfter)
+	if r.sv != nil {
+		wait = max(wait, r.sv.set.Wait(e.at.Now))
+	}
+	return wait + time.Duration(e.at.Seed%uint64(wait))
+}
+
+// answer gives the final answer of a request.
+func (e *Entry) answer(r *request, a Answer) {
+	delete(e.requests, r.ID)
+	a.ID, a.Tries = r.ID, r.tries
+	e.gate.Done(e.at.Now, string(r.Team))
+	e.count("answer", Reason(a.Outcome))
+	e.recent.add(r, a, e.at.Now)
+	e.emit(a)
+}
+
+// requestGone drops a request whose caller no longer waits. A queued copy of
+// it need not run.
+func (e *Entry) requestGone(id RequestID) {
+	r := e.requests[id]
+	if r == nil {
+		return
+	}
+	delete(e.requests, id)
+	e.gate.Done(e.at.Now, string(r.Team))
+	e.count("gone", ReasonRevoked)
+	for _, c := range r.calls {
+		e.emit(Revoke{Call: e.expect(waitGone{}), Addr: c.addr, Run: c.run, ID: id, By: r.Deadline})
+	}
+}
+
+// waitGone waits for nothing: the caller has gone.
+type waitGone struct{}
+
+func (waitGone) wait() {}
--- /dev/null
+++ b/core/entryshow.go
@@ -0,0 +1,263 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// show answers a query. Jobs and tasks are read from the table; all else is
+// this entry's own view.
+func (e *Entry) show(t Token, cmd Show) {
+	if cmd.Kind == "tasks" || cmd.Kind == "jobs" {
+		if why := e.checkCommand(); why == ReasonStore || why == ReasonConfig {
+			e.reply(t, CommandResult{Outcome: CommandRefused, Text: commandText[why], RetryAfter: e.comeBack()})
+			return
+		}
+		e.emit(ReadChanges{Token: e.expect(waitShow{token: t, cmd: cmd}), Prefix: PrefixJob})
+		return
+	}
+	cols, rows := e.list(cmd.Kind)
+	if cols == nil {
+		e.reply(t, *refused("nothing of kind %q can be shown", cmd.Kind))
+		return
+	}
+	e.reply(t, e.filter(cmd, cols, rows))
+}
+
+func (e *Entry) showAnswered(w waitShow, ev ChangesAnswered) {
+	if ev.Fault != FaultNone {
+		e.storeFault("read")
+		e.reply(w.token, CommandResult{Outcome: CommandRefused, Text: commandText[ReasonStore], RetryAfter: e.comeBack()})
+		return
+	}
+	var jobs []JobRow
+	for _, r := range ev.View.Rows {
+		if rec, err := Decode(r.Key, r.Value); err == nil && !r.Deleted {
+			if j, ok := rec.(JobRow); ok {
+				jobs = append(jobs, j)
+			}
+		}
+	}
+	cols, rows := listJobs(w.cmd.Kind, jobs)
+	e.reply(w.token, e.filter(w.cmd, cols, rows))
+}
+
+// filter keeps the rows that match, in the order of their cells.
+func (e *Entry) filter(cmd Show, cols []string, rows [][]string) CommandResult {
+	for _, m := range cmd.Where {
+		i := indexOf(cols, m.Column)
+		if i < 0 {
+			return *refused("%s has no column %q; it has %s", cmd.Kind, m.Column, strings.Join(cols, ", "))
+		}
+		keep := rows[:0]
+		for _, r := range rows {
+			if compare(r[i], m.Op, m.Value) {
+				keep = append(keep, r)
+			}
+		}
+		rows = keep
+	}
+	sort.Slice(rows, func(i, j int) bool { return strings.Join(rows[i], "\x00") < strings.Join(rows[j], "\x00") })
+	return CommandResult{Outcome: CommandDone, Version: e.config.n, Columns: cols, Rows: rows}
+}
+
+func indexOf(cols []string, c string) int {
+	for i, s := range cols {
+		if s == c {
+			return i
+		}
+	}
+	return -1
+}
+
+// compare compares as numbers where both are, else as text.
+func compare(cell, op, value string) bool {
+	x, errX := strconv.ParseFloat(cell, 64)
+	y, errY := strconv.ParseFloat(value, 64)
+	if errX != nil || errY != nil {
+		x, y = float64(strings.Compare(cell, value)), 0
+	}
+	switch op {
+	case "=":
+		return x == y
+	case "!=":
+		return x != y
+	case "<":
+		return x < y
+	case ">":
+		return x > y
+	case "<=":
+		return x <= y
+	case ">=":
+		return x >= y
+	}
+	return false
+}
+
+// list returns the columns and rows of one kind, or no columns.
+func (e *Entry) list(kind string) ([]string, [][]string) {
+	switch kind {
+	case "workers":
+		return e.listWorkers()
+	case "services":
+		return e.listServices()
+	case "dcs":
+		return e.listDCs()
+	case "teams":
+		return e.listTeams()
+	case "policy":
+		return e.listPolicy()
+	case "entries":
+		return e.listEntries()
+	}
+	return nil, nil
+}
+
+func (e *Entry) listWorkers() ([]string, [][]string) {
+	var rows [][]string
+	for _, id := range e.workerIDs() {
+		w := e.workers[id]
+		state := "open"
+		if why, ok := e.usable(w); !ok {
+			state = "closed: " + string(why)
+		} else if w.failures.quarantined(e.at.Now) {
+			state = "quarantined"
+		}
+		b := &w.beat
+		rows = append(rows, []string{
+			string(id), string(b.DC), string(b.Rack), state,
+			num(b.Capacity.Millicores), num(b.Committed.Millicores), num(b.Used.Millicores),
+			num(b.Capacity.MemoryMB), num(b.Committed.MemoryMB), strconv.Itoa(len(b.Running)),
+			e.at.Now.Sub(w.heard).Round(time.Millisecond).String(),
+		})
+	}
+	return []string{
+		"worker", "dc", "rack", "state", "millicores", "committed", "used", "memory", "memorycommitted", "tasks", "heard",
+	}, rows
+}
+
+func num(n int64) string { return strconv.FormatInt(n, 10) }
+
+func (e *Entry) listServices() ([]string, [][]string) {
+	var rows [][]string
+	for _, rec := range e.config.list(PrefixConfig + "service/") {
+		r, ok := rec.(ServiceRow)
+		if !ok {
+			continue
+		}
+		endpoints, p50, p99 := 0, time.Duration(0), time.Duration(0)
+		if sv := e.services[r.Name]; sv != nil {
+			endpoints, p50, p99 = sv.set.Len(), sv.set.Quantile(0.5), sv.set.Quantile(0.99)
+		}
+		rows = append(rows, []string{
+			r.Name, string(r.Team), strconv.FormatBool(r.Idempotent), r.Timeout.String(),
+			strconv.Itoa(endpoints), p50.String(), p99.String(),
+		})
+	}
+	return []string{"service", "team", "idempotent", "timeout", "endpoints", "p50", "p99"}, rows
+}
+
+func (e *Entry) listDCs() ([]string, [][]string) {
+	count := map[DC]int{}
+	for _, w := range e.workers {
+		count[w.beat.DC]++
+	}
+	var rows [][]string
+	for _, rec := range e.config.list(PrefixConfig + "dc/") {
+		if r, ok := rec.(DCRow); ok {
+			rows = append(rows, []string{string(r.Name), describe(r), strconv.Itoa(count[r.Name])})
+		}
+	}
+	return []string{"dc", "state", "workers"}, rows
+}
+
+func (e *Entry) listTeams() ([]string, [][]string) {
+	var rows [][]string
+	for _, rec := range e.config.list(PrefixConfig + "team/") {
+		if r, ok := rec.(TeamRow); ok {
+			held := e.quota.Held(string(r.Name))
+			rows = append(rows, []string{
+				string(r.Name), num(r.Quota.Millicores), num(r.Quota.MemoryMB), num(held.Millicores), strconv.Itoa(max(r.Weight, 1)),
+			})
+		}
+	}
+	return []string{"team", "millicores", "memory", "held", "weight"}, rows
+}
+
+func (e *Entry) listPolicy() ([]string, [][]string) {
+	var rows [][]string
+	for name, unit := range PolicyNames {
+		value := "default"
+		if v, ok := e.config.policy(name); ok {
+			value = strconv.FormatFloat(v, 'g', -1, 64)
+		}
+		rows = append(rows, []string{name, value, unit})
+	}
+	return []string{"policy", "value", "unit"}, rows
+}
+
+func (e *Entry) listEntries() ([]string, [][]string) {
+	live := map[EntryID]bool{}
+	for _, id := range e.live() {
+		live[id] = true
+	}
+	shards := map[EntryID]int{}
+	for s := range e.shards {
+		shards[owner(s, e.live())]++
+	}
+	var rows [][]string
+	for id, p := range e.peers {
+		rows = append(rows, []string{string(id), p.row.Addr, strconv.FormatBool(live[id]), strconv.Itoa(shards[id])})
+	}
+	return []string{"entry", "addr", "live", "shards"}, rows
+}
+
+// listJobs returns jobs, or the tasks of jobs, as rows.
+func listJobs(kind string, jobs []JobRow) ([]string, [][]string) {
+	var rows [][]string
+	if kind == "jobs" {
+		for _, j := range jobs {
+			rows = append(rows, jobCells(j))
+		}
+		return []string{"job", "team", "class", "urgent", "tasks", "waiting", "running", "done", "other", "state"}, rows
+	}
+	for _, j := range jobs {
+		for n, t := range j.Tasks {
+			rows = append(rows, []string{
+				TaskID{Job: j.Spec.ID, N: n}.String(), string(j.Spec.Team), j.Spec.Class, t.State.String(),
+				strconv.Itoa(int(t.Attempt)), string(t.Holder.Worker), strconv.Itoa(int(t.Evictions)), t.Reason, t.Output,
+			})
+		}
+	}
+	return []string{"task", "team", "class", "state", "attempt", "worker", "evictions", "reason", "output"}, rows
+}
+
+func jobCells(j JobRow) []string {
+	var waiting, running, done, other int
+	for _, t := range j.Tasks {
+		switch t.State {
+		case TaskWaiting:
+			waiting++
+		case TaskClaimed:
+			running++
+		case TaskDone:
+			done++
+		default:
+			other++
+		}
+	}
+	state := "open"
+	if waiting+running == 0 {
+		state = "ended"
+	}
+	if j.Cancel {
+		state = "cancelled"
+	}
+	return []string{
+		string(j.Spec.ID), string(j.Spec.Team), j.Spec.Class, strconv.FormatBool(j.Spec.Urgent),
+		fmt.Sprint(len(j.Tasks)), fmt.Sprint(waiting), fmt.Sprint(running), fmt.Sprint(done), fmt.Sprint(other), state,
+	}
+}
--- /dev/null
+++ b/core/entrywhy.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// whyColumns are the columns of every answer to `why`.
+var whyColumns = []string{"what", "reason"}
+
+// why gives the reasons of what became of a thing, as this entry knows them.
+func (e *Entry) why(cmd Why) CommandResult {
+	var rows [][]string
+	switch cmd.Kind {
+	case "request":
+		rows = e.whyRequest(RequestID(cmd.ID))
+	case "task":
+		rows = e.whyTask(ParseTask(cmd.ID))
+	case "job":
+		rows = e.whyJob(JobID(cmd.ID))
+	case "worker":
+		rows = e.whyWorker(WorkerID(cmd.ID))
+	case "dc":
+		rows = e.whyDC(DC(cmd.ID))
+	}
+	if rows == nil {
+		return *refused("this entry knows no %s %q; another entry may", cmd.Kind, cmd.ID)
+	}
+	return CommandResult{Outcome: CommandDone, Version: e.config.n, Columns: whyColumns, Rows: rows}
+}
+
+func (e *Entry) whyRequest(id RequestID) [][]string {
+	if r := e.requests[id]; r != nil {
+		return [][]string{
+			{"state", "in progress"}, {"tries", fmt.Sprint(r.tries)}, {"workers", fmt.Sprint(r.tried)},
+			{"last refusal", string(r.refused)},
+		}
+	}
+	rec, ok := e.recent.find(id)
+	if !ok {
+		return nil
+	}
+	return rec.reasons()
+}
+
+func (e *Entry) whyTask(id TaskID) [][]string {
+	j := e.jobs[id.Job]
+	if j == nil || id.N >= len(j.row.Tasks) {
+		return nil
+	}
+	t := &j.row.Tasks[id.N]
+	rows := [][]string{
+		{"state", t.State.String()},
+		{"attempt", fmt.Sprint(t.Attempt)},
+		{"evictions", fmt.Sprint(t.Evictions)},
+	}
+	if t.Reason != "" {
+		rows = append(rows, []string{"last end", t.Reason})
+	}
+	for _, w := range t.FailedOn {
+		rows = append(rows, []string{"failed on", string(w)})
+	}
+	switch t.State {
+	case TaskWaiting:
+		rows = append(rows, []string{"waits for", waitText(j.waits[id.N])})
+	case TaskClaimed:
+		rows = append(rows, e.whyPlaced(j, id.N)...)
+	}
+	return rows
+}
+
+func waitText(r Reason) string {
+	switch r {
+	case ReasonQuota:
+		return "its team's quota"
+	case ReasonNever:
+		return "a worker that could hold it; none that is known can"
+	case ReasonRoom:
+		return "room on a worker"
+	}
+	return "its turn"
+}
+
+func (e *Entry) whyPlaced(j *jobView, n int) [][]string {
+	rows := [][]string{{"worker", string(j.row.Tasks[n].Holder.Worker)}}
+	c := j.claims[n]
+	if c == nil {
+		return rows
+	}
+	if c.urgent {
+		rows = append(rows, []string{"placed by", "spread over data centres and racks"})
+	} else {
+		rows = append(rows, []string{"placed by", "dense fit beside what runs there"})
+	}
+	if c.listed {
+		rows = append(rows, []string{"heard", e.at.Now.Sub(c.heard).Round(time.Millisecond).String() + " ago"})
+	} else {
+		rows = append(rows, []string{"heard", "not yet"})
+	}
+	return rows
+}
+
+func (e *Entry) whyJob(id JobID) [][]string {
+	j := e.jobs[id]
+	if j == nil {
+		return nil
+	}
+	cells := jobCells(j.row)
+	rows := [][]string{
+		{"state", cells[9]}, {"waiting", cells[5]}, {"running", cells[6]}, {"done", cells[7]}, {"other", cells[8]},
+	}
+	seen := map[Reason]int{}
+	for _, r := range j.waits {
+		seen[r]++
+	}
+	for r, n := range seen {
+		rows = append(rows, []string{fmt.Sprintf("%d wait for", n), waitText(r)})
+	}
+	return rows
+}
+
+func (e *Entry) whyWorker(id WorkerID) [][]string {
+	w := e.workers[id]
+	if w == nil {
+		return nil
+	}
+	state := "open"
+	if why, ok := e.usable(w); !ok {
+		state = "closed: " + string(why)
+	}
+	rows := [][]string{
+		{"state", state},
+		{"incarnation", string(w.inc)},
+		{"heard", e.at.Now.Sub(w.heard).Round(time.Millisecond).String() + " ago"},
+		{"claims of this entry", fmt.Sprint(len(w.claims))},
+	}
+	if w.failures.quarantined(e.at.Now) {
+		rows = append(rows, []string{"quarantined until", w.failures.until.UTC().Format(time.RFC3339)})
+	}
+	for _, inc := range e.fences[id].row.Fenced {
+		rows = append(rows, []string{"fenced", string(inc)})
+	}
+	return rows
+}
+
+func (e *Entry) whyDC(n DC) [][]string {
+	row, ok := e.config.dc(n)
+	if !ok {
+		return nil
+	}
+	return [][]string{{"state", describe(row)}, {"share used", fmt.Sprintf("%.0f%%", 100*e.ramp(n))}}
+}
--- a/core/event.go
+++ b/core/event.go
@@ -146,6 +146,7 @@
 	Sent      time.Time // agent's clock
 	Capacity  Size
 	Committed Size
+	Batch     Size // part of Committed that batch tasks hold
 	Used      Size // measured, late
 	Slots     int
 	Services  []ServiceLoad
@@ -153,6 +154,9 @@
 	Ends      []End
 	Config    uint64 // version in force at the agent
 	Leaving   bool
+	// Gone lists earlier incarnations that this one vouches are dead, as
+	// asked by BeatAnswer.Prior.
+	Gone []Incarnation
 }
 
 // ServiceLoad is how busy a VM's endpoint is with one service.
@@ -175,6 +179,9 @@
 	Recorded []Attempt   // ends that are known to be in the table
 	Moved    []Attempt   // attempts whose claim is no longer theirs
 	Entries  []netip.AddrPort
+	// Prior is another incarnation of the same worker that the entry knows
+	// of. The agent vouches in its next beat that it is dead.
+	Prior Incarnation
 }
 
 // Request is a caller's request.
@@ -302,6 +309,7 @@
 // ServeAsked is a request from an entry. It is answered with a ServeReply.
 type ServeAsked struct {
 	Token   Token
+	Call    string // unique name of this try, to recognise a second copy
 	Inc     Incarnation
 	Run     Run
 	Request Request // its deadline on the agent's clock
--- /dev/null
+++ b/core/fuzz_test.go
@@ -0,0 +1,125 @@
+package core_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jayloft/core"
+	"jayloft/fake"
+)
+
+// TestMain gives the fuzzing a fixed seed, unless one is named.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	defaults := map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.nofailfile": "true"}
+	if testing.Short() {
+		defaults["rapid.checks"] = "60"
+	}
+	for name, v := range defaults {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, v); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// settleFor is how long a run may take to end all its tasks once the failures
+// are over.
+const settleFor = 5 * time.Minute
+
+// script is a run of a World: a seed and what is done to it.
+type script struct {
+	Seed    uint64
+	Actions []fake.Action
+}
+
+// run plays the script and returns what the oracle found.
+func (s script) run(opts ...fake.Option) []fake.Violation {
+	w := s.world(opts...)
+	return w.Violations()
+}
+
+func (s script) world(opts ...fake.Option) *fake.World {
+	w := fake.New(s.Seed, opts...)
+	w.Run(3 * time.Second)
+	for _, a := range s.Actions {
+		if len(w.Violations()) > 0 {
+			break
+		}
+		w.Do(a)
+	}
+	if len(w.Violations()) == 0 {
+		w.Settle(settleFor)
+	}
+	return w
+}
+
+// String writes the script as a literal for the table in regress_test.go.
+func (s script) String() string {
+	text := fmt.Sprintf("script{Seed: %d, Actions: []fake.Action{\n", s.Seed)
+	for _, a := range s.Actions {
+		text += fmt.Sprintf("\t%#v,\n", a)
+	}
+	return text + "}}"
+}
+
+// TestFuzz plays random runs against the oracle.
+func TestFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := scripts.Draw(t, "script")
+		if found := s.run(); len(found) > 0 {
+			t.Fatalf("%s\n%s", found[0], s)
+		}
+	})
+}
+
+// TestSame requires that the same run gives the same effects.
+func TestSame(t *testing.T) {
+	for seed := range 5 {
+		s := scripts.Example(seed)
+		assert.Equal(t, traceOf(s), traceOf(s))
+	}
+}
+
+// traceOf returns every event and effect of a run.
+func traceOf(s script) string {
+	var b []byte
+	s.run(fake.Trace(func(at time.Time, who, what string) {
+		b = fmt.Appendf(b, "%s %s %s\n", at.Sub(fake.Epoch), who, what)
+	}))
+	return string(b)
+}
+
+// TestMutants requires that the fuzzing notices each protection that is off.
+func TestMutants(t *testing.T) {
+	seeds := 400
+	if testing.Short() {
+		seeds = 100
+	}
+	for _, name := range core.Guards {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds {
+				s := scripts.Example(seed)
+				found := s.run(fake.CoreOptions(core.Off(name)))
+				if len(found) > 0 {
+					t.Logf("seed %d: %s", seed, found[0])
+					return
+				}
+			}
+			t.Errorf("without %s, %d runs found nothing", name, seeds)
+		})
+	}
+}
--- /dev/null
+++ b/core/plan.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"fmt"
+
+	"jayloft/table"
+)
+
+// plan is what a command will write.
+type plan struct {
+	rec    Record
+	text   string
+	config bool // part of the configuration
+}
+
+// plan works out a command's change from fresh rows, or refuses it.
+func (e *Entry) plan(c *command, ver, target table.Row) (plan, *CommandResult) {
+	var old Record
+	if target.Version > 0 {
+		rec, err := Decode(target.Key, target.Value)
+		if err != nil {
+			return plan{}, refused("the row can't be read: %v", err)
+		}
+		old = rec
+	}
+	switch cmd := c.cmd.(type) {
+	case CreateJob:
+		return e.planJob(cmd, old)
+	case CancelJob:
+		return planCancel(cmd, old)
+	}
+	return planConfig(e, c, versionOf(ver), old)
+}
+
+func planConfig(e *Entry, c *command, n uint64, old Record) (plan, *CommandResult) {
+	if v := condition(c.cmd); v.Set && v.N != n {
+		return plan{}, &CommandResult{
+			Outcome: CommandConflict, Version: n,
+			Text: fmt.Sprintf("the configuration is at version %d, not %d", n, v.N),
+		}
+	}
+	switch cmd := c.cmd.(type) {
+	case CreateService:
+		if old != nil {
+			return plan{}, refused("service %q exists", cmd.Row.Name)
+		}
+		return plan{rec: cmd.Row, text: fmt.Sprintf("service %q created", cmd.Row.Name), config: true}, nil
+	case CreateDC:
+		if old != nil {
+			return plan{}, refused("data centre %q exists", cmd.Row.Name)
+		}
+		return plan{rec: cmd.Row, text: fmt.Sprintf("data centre %q created", cmd.Row.Name), config: true}, nil
+	case CreateTeam:
+		return plan{rec: cmd.Row, text: fmt.Sprintf("team %q set", cmd.Row.Name), config: true}, nil
+	case SetPolicy:
+		if _, ok := PolicyNames[cmd.Row.Name]; !ok {
+			return plan{}, refused("no policy is named %q", cmd.Row.Name)
+		}
+		return plan{rec: cmd.Row, text: fmt.Sprintf("%s set to %g", cmd.Row.Name, cmd.Row.Value), config: true}, nil
+	case Drain:
+		return e.planDrain(cmd, old)
+	case Return:
+		return e.planReturn(cmd, old)
+	}
+	return plan{}, refused("%T is not a change", c.cmd)
+}
+
+func (e *Entry) planDrain(cmd Drain, old Record) (plan, *CommandResult) {
+	row, ok := old.(DCRow)
+	if !ok {
+		return plan{}, refused("no data centre is named %q", cmd.DC)
+	}
+	row.Out, row.By, row.Since = true, cmd.By, e.at.Now
+	return plan{rec: row, text: fmt.Sprintf("data centre %q is out, %s", cmd.DC, describe(row)), config: true}, nil
+}
+
+func (e *Entry) planReturn(cmd Return, old Record) (plan, *CommandResult) {
+	row, ok := old.(DCRow)
+	if !ok {
+		return plan{}, refused("no data centre is named %q", cmd.DC)
+	}
+	if !row.Out {
+		return plan{}, refused("data centre %q is in", cmd.DC)
+	}
+	return plan{
+		rec: DCRow{Name: row.Name, Since: e.at.Now}, text: fmt.Sprintf("data centre %q is in", cmd.DC), config: true,
+	}, nil
+}
+
+// planJob checks a job before it is accepted.
+func (e *Entry) planJob(cmd CreateJob, old Record) (plan, *CommandResult) {
+	spec := cmd.Spec
+	switch {
+	case old != nil:
+		return plan{}, refused("job %q exists", spec.ID)
+	case spec.ID == "":
+		return plan{}, refused("a job needs an id")
+	case len(spec.Inputs) == 0 || len(spec.Inputs) > MaxTasks:
+		return plan{}, refused("a job has 1 to %d tasks, not %d", MaxTasks, len(spec.Inputs))
+	case spec.Size.Millicores <= 0 || spec.Size.MemoryMB < 0 || spec.Size.Accelerators < 0:
+		return plan{}, refused("a task needs some processor: %v", spec.Size)
+	case e.index.Len() > 0 && !e.index.Possible(spec.Size):
+		e.count("command", ReasonNever)
+		return plan{}, refused("no worker could hold a task of %v", spec.Size)
+	}
+	row := JobRow{Spec: spec, Tasks: make([]TaskRow, len(spec.Inputs)), Accepted: e.at.Now}
+	return plan{rec: row, text: fmt.Sprintf("job %q accepted, %d tasks", spec.ID, len(spec.Inputs))}, nil
+}
+
+func planCancel(cmd CancelJob, old Record) (plan, *CommandResult) {
+	row, ok := old.(JobRow)
+	if !ok {
+		return plan{}, refused("no job is named %q", cmd.Job)
+	}
+	row = row.copyTasks()
+	row.Cancel = true
+	n := 0
+	for i := range row.Tasks {
+		if row.Tasks[i].State == TaskWaiting {
+			row.Tasks[i].State = TaskCancelled
+			n++
+		}
+	}
+	return plan{rec: row, text: fmt.Sprintf("job %q cancelled, %d tasks were waiting", cmd.Job, n)}, nil
+}
+
+// condition returns the version that a command asks for.
+func condition(cmd Command) Version {
+	switch cmd := cmd.(type) {
+	case CreateService:
+		return cmd.If
+	case CreateDC:
+		return cmd.If
+	case CreateTeam:
+		return cmd.If
+	case Drain:
+		return cmd.If
+	case Return:
+		return cmd.If
+	case SetPolicy:
+		return cmd.If
+	}
+	return Version{}
+}
+
+func refused(format string, args ...any) *CommandResult {
+	return &CommandResult{Outcome: CommandRefused, Text: fmt.Sprintf(format, args...)}
+}
--- a/core/policy.go
+++ b/core/policy.go
@@ -144,3 +144,30 @@
 
 // on reports whether the protection is in force.
 func (p *Policy) on(g guard) bool { return p.off&g == 0 }
+
+// PolicyNames lists the numbers that `set` may change and their units.
+var PolicyNames = map[string]string{
+	"retries":    "share of fresh requests, 0 to 1",
+	"hedges":     "share of fresh requests, 0 to 1",
+	"checkpoint": "seconds between checkpoints",
+	"parking":    "distinct workers that a task may fail on",
+	"queue":      "requests queued per slot",
+}
+
+// set takes a number that an operator has set. The lease, the permit and what
+// depends on them come from settings alone: they must be the same for every
+// process at all times.
+func (p *Policy) set(name string, v float64) {
+	switch name {
+	case "retries":
+		p.RetryShare = v
+	case "hedges":
+		p.HedgeShare = v
+	case "checkpoint":
+		p.CheckpointEvery = time.Duration(v * float64(time.Second))
+	case "parking":
+		p.ParkFailures = int(v)
+	case "queue":
+		p.QueuePerSlot = v
+	}
+}
--- /dev/null
+++ b/core/recent.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// recentMax bounds the requests that an entry remembers.
+const recentMax = 4096
+
+// recentLog remembers the last requests, for `why request` and to recognise
+// the ids of non-idempotent ones.
+type recentLog struct {
+	ring []recentRequest
+	next int
+	byID map[RequestID]int
+}
+
+type recentRequest struct {
+	id         RequestID
+	answer     Answer
+	tried      []string
+	idempotent bool
+	arrived    time.Time
+	answered   time.Time
+}
+
+func (l *recentLog) add(r *request, a Answer, now time.Time) {
+	if l.byID == nil {
+		l.byID = map[RequestID]int{}
+	}
+	a.Body = nil
+	rec := recentRequest{id: r.ID, answer: a, tried: r.tried, idempotent: r.Idempotent, arrived: r.arrived, answered: now}
+	if len(l.ring) < recentMax {
+		l.byID[r.ID] = len(l.ring)
+		l.ring = append(l.ring, rec)
+		return
+	}
+	old := l.ring[l.next].id
+	if l.byID[old] == l.next {
+		delete(l.byID, old)
+	}
+	l.ring[l.next] = rec
+	l.byID[r.ID] = l.next
+	l.next = (l.next + 1) % recentMax
+}
+
+func (l *recentLog) find(id RequestID) (recentRequest, bool) {
+	i, ok := l.byID[id]
+	if !ok {
+		return recentRequest{}, false
+	}
+	return l.ring[i], true
+}
+
+// ran reports whether a non-idempotent request of this id may have run.
+func (l *recentLog) ran(id RequestID) bool {
+	r, ok := l.find(id)
+	return ok && !r.idempotent && r.answer.Outcome != OutcomeRefused
+}
+
+// reasons returns the lines of `why request`.
+func (r recentRequest) reasons() [][]string {
+	rows := [][]string{
+		{"outcome", string(r.answer.Outcome)},
+		{"reason", string(r.answer.Reason)},
+		{"text", r.answer.Text},
+		{"tries", fmt.Sprint(r.answer.Tries)},
+		{"workers", fmt.Sprint(r.tried)},
+		{"idempotent", fmt.Sprint(r.idempotent)},
+		{"took", r.answered.Sub(r.arrived).String()},
+	}
+	if r.answer.RetryAfter > 0 {
+		rows = append(rows, []string{"retry after", r.answer.RetryAfter.String()})
+	}
+	return rows
+}
--- a/core/rows.go
+++ b/core/rows.go
@@ -157,7 +157,6 @@
 	Spec     JobSpec   `cbor:"1,keyasint"`
 	Tasks    []TaskRow `cbor:"2,keyasint"`
 	Cancel   bool      `cbor:"3,keyasint,omitempty"`
-	Stamp    string    `cbor:"4,keyasint"` // of the last write, to recognise it
 	Accepted time.Time `cbor:"5,keyasint,omitzero"`
 }
 
@@ -214,31 +213,48 @@
 func Decode(key string, b []byte) (Record, error) {
 	switch {
 	case key == KeyVersion:
-		return decode[VersionRow](key, b)
+		var r VersionRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixConfig+"service/"):
-		return decode[ServiceRow](key, b)
+		var r ServiceRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixConfig+"dc/"):
-		return decode[DCRow](key, b)
+		var r DCRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixConfig+"team/"):
-		return decode[TeamRow](key, b)
+		var r TeamRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixConfig+"policy/"):
-		return decode[PolicyRow](key, b)
+		var r PolicyRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixEntry):
-		return decode[EntryRow](key, b)
+		var r EntryRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixJob):
-		return decode[JobRow](key, b)
+		var r JobRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixFence):
-		return decode[FenceRow](key, b)
+		var r FenceRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixOp):
-		return decode[OpRow](key, b)
+		var r OpRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	}
 	return nil, fmt.Errorf("decode %s: unknown kind of row", key)
 }
 
-func decode[T Record](key string, b []byte) (Record, error) {
-	var r T
-	if err := cbor.Unmarshal(b, &r); err != nil {
-		return nil, fmt.Errorf("decode %s: %w", key, err)
+func unmarshal(key string, b []byte, r any) error {
+	if err := cbor.Unmarshal(b, r); err != nil {
+		return fmt.Errorf("decode %s: %w", key, err)
 	}
-	return r, nil
+	return nil
 }
--- /dev/null
+++ b/core/script_test.go
@@ -0,0 +1,177 @@
+package core_test
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jayloft/core"
+	"jayloft/fake"
+)
+
+// scripts draws runs of up to 40 actions.
+var scripts = rapid.Custom(func(t *rapid.T) script {
+	return script{
+		Seed:    rapid.Uint64Max(1<<20).Draw(t, "seed"),
+		Actions: rapid.SliceOfN(actions, 1, 40).Draw(t, "actions"),
+	}
+})
+
+// actions draws one action. Waits are frequent, so that faults overlap with
+// work in all of its stages.
+var actions = rapid.Custom(func(t *rapid.T) fake.Action {
+	kind := rapid.SampledFrom(weighted).Draw(t, "kind")
+	return kind(t)
+})
+
+type draw func(t *rapid.T) fake.Action
+
+var weighted = weigh(map[int][]draw{
+	6: {wait},
+	3: {submit, ask},
+	2: {drain, pauseEntry, pauseAgent, killEntry, cutVM, store},
+	1: {cancel, comeBack, race, setPolicy, leaveEntry, killAgent, leaveAgent,
+		killVM, pauseVM, unwell, cutDC, cutStore, cutEntries, network, objects},
+})
+
+func weigh(m map[int][]draw) []draw {
+	var s []draw
+	for _, n := range []int{6, 3, 2, 1} {
+		for range n {
+			s = append(s, m[n]...)
+		}
+	}
+	return s
+}
+
+func n(t *rapid.T, name string, limit int) int { return rapid.IntRange(0, limit).Draw(t, name) }
+
+// span draws a length of time: short ones for races, long ones for leases.
+func span(t *rapid.T) time.Duration {
+	if rapid.Bool().Draw(t, "long") {
+		return time.Duration(rapid.IntRange(1, 30).Draw(t, "s")) * time.Second
+	}
+	return time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond
+}
+
+func wait(t *rapid.T) fake.Action { return fake.Wait{For: span(t)} }
+
+var sizes = []core.Size{
+	{Millicores: 500, MemoryMB: 500},
+	{Millicores: 1000, MemoryMB: 2000},
+	{Millicores: 1500, MemoryMB: 1000, Accelerators: 1},
+	{Millicores: 2900, MemoryMB: 6500},
+	{Millicores: 9000, MemoryMB: 1000}, // fits nowhere
+}
+
+func submit(t *rapid.T) fake.Action {
+	return fake.Submit{
+		Entry:  n(t, "entry", 2),
+		Tasks:  rapid.IntRange(1, 8).Draw(t, "tasks"),
+		Size:   rapid.SampledFrom(sizes).Draw(t, "size"),
+		Class:  rapid.SampledFrom([]string{"cut", "cut", "import", fake.ClassBad}).Draw(t, "class"),
+		Urgent: n(t, "urgent", 3) == 3,
+		Once:   n(t, "once", 3) == 3,
+	}
+}
+
+func ask(t *rapid.T) fake.Action {
+	return fake.Ask{
+		Entry:      n(t, "entry", 2),
+		N:          rapid.IntRange(1, 40).Draw(t, "n"),
+		Service:    rapid.SampledFrom([]string{"lookup", "order", "order", "none"}).Draw(t, "service"),
+		Idempotent: n(t, "idempotent", 4) == 4,
+		Timeout:    time.Duration(rapid.IntRange(50, 2000).Draw(t, "timeout")) * time.Millisecond,
+		Gone:       n(t, "gone", 5) == 5,
+		Over:       span(t),
+	}
+}
+
+func cancel(t *rapid.T) fake.Action {
+	return fake.Cancel{Entry: n(t, "entry", 2), Last: rapid.IntRange(1, 5).Draw(t, "last")}
+}
+
+func drain(t *rapid.T) fake.Action {
+	return fake.Drain{Entry: n(t, "entry", 2), DC: n(t, "dc", 2), In: span(t)}
+}
+
+func comeBack(t *rapid.T) fake.Action {
+	return fake.Return{Entry: n(t, "entry", 2), DC: n(t, "dc", 2)}
+}
+
+func race(t *rapid.T) fake.Action {
+	return fake.Race{DC: n(t, "dc", 2), If: rapid.Bool().Draw(t, "if")}
+}
+
+func setPolicy(t *rapid.T) fake.Action {
+	return fake.SetPolicy{Entry: n(t, "entry", 2), Value: n(t, "value", 100)}
+}
+
+var entryTraps = []string{"", "", "Commit", "Start", "Serve", "CommandReply", "BeatReply", "Revoke", "ReadChanges"}
+
+func killEntry(t *rapid.T) fake.Action {
+	return fake.KillEntry{Entry: n(t, "entry", 2), On: rapid.SampledFrom(entryTraps).Draw(t, "on"), For: span(t)}
+}
+
+func pauseEntry(t *rapid.T) fake.Action {
+	return fake.PauseEntry{Entry: n(t, "entry", 2), On: rapid.SampledFrom(entryTraps).Draw(t, "on"), For: span(t)}
+}
+
+func leaveEntry(t *rapid.T) fake.Action { return fake.LeaveEntry{Entry: n(t, "entry", 2)} }
+
+var agentTraps = []string{"", "", "Launch", "Renew", "Call", "StartReply", "SettleReply", "ServeReply", "SendBeat"}
+
+func killAgent(t *rapid.T) fake.Action {
+	return fake.KillAgent{VM: n(t, "vm", 5), On: rapid.SampledFrom(agentTraps).Draw(t, "on"), For: span(t)}
+}
+
+func pauseAgent(t *rapid.T) fake.Action {
+	return fake.PauseAgent{VM: n(t, "vm", 5), On: rapid.SampledFrom(agentTraps).Draw(t, "on"), For: span(t)}
+}
+
+func leaveAgent(t *rapid.T) fake.Action { return fake.LeaveAgent{VM: n(t, "vm", 5)} }
+func killVM(t *rapid.T) fake.Action     { return fake.KillVM{VM: n(t, "vm", 5), For: span(t)} }
+func pauseVM(t *rapid.T) fake.Action    { return fake.PauseVM{VM: n(t, "vm", 5), For: span(t)} }
+
+func unwell(t *rapid.T) fake.Action {
+	return fake.Unwell{VM: n(t, "vm", 5), Slow: rapid.Bool().Draw(t, "slow"), For: span(t)}
+}
+
+func way(t *rapid.T) fake.Way { return fake.Way(n(t, "way", 2)) }
+
+func cutVM(t *rapid.T) fake.Action {
+	return fake.CutVM{VM: n(t, "vm", 5), Entry: n(t, "entry", 4) - 2, Way: way(t), For: span(t)}
+}
+
+func cutDC(t *rapid.T) fake.Action {
+	return fake.CutDC{DC: n(t, "dc", 2), Way: way(t), For: span(t)}
+}
+
+func cutStore(t *rapid.T) fake.Action {
+	return fake.CutStore{Entry: n(t, "entry", 3) - 1, Way: way(t), For: span(t)}
+}
+
+func cutEntries(t *rapid.T) fake.Action {
+	return fake.CutEntries{A: n(t, "a", 2), B: n(t, "b", 2), Way: way(t), For: span(t)}
+}
+
+func network(t *rapid.T) fake.Action {
+	return fake.Net{
+		Delay:  time.Duration(n(t, "delay", 4000)) * time.Millisecond,
+		Drop:   float64(n(t, "drop", 30)) / 100,
+		Double: float64(n(t, "double", 50)) / 100,
+		For:    span(t),
+	}
+}
+
+func store(t *rapid.T) fake.Action {
+	return fake.Store{
+		Down: n(t, "down", 2) == 2,
+		Slow: time.Duration(n(t, "slow", 3000)) * time.Millisecond,
+		Lose: float64(n(t, "lose", 60)) / 100,
+		Late: float64(n(t, "late", 30)) / 100,
+		For:  span(t),
+	}
+}
+
+func objects(t *rapid.T) fake.Action { return fake.Objects{For: span(t)} }
--- a/core/types.go
+++ b/core/types.go
@@ -142,4 +142,3 @@
 	ReasonExists      Reason = "exists"      // the id is in use
 	ReasonRevoked     Reason = "revoked"     // the caller or entry took it back
 )
-
--- /dev/null
+++ b/place/index.go
@@ -0,0 +1,311 @@
+package place
+
+// Worker is what the index knows of one worker.
+type Worker struct {
+	DC   string
+	Rack string
+	// Capacity is all that the VM has, Committed what its tasks hold.
+	Capacity  Size
+	Committed Size
+	// Batch is the part of Committed that urgent work may take. Set reduces
+	// it to Committed where it is larger.
+	Batch Size
+	// Closed workers are never chosen.
+	Closed bool
+	// Penalty is added to the cost of the worker, from 0 for none; 1 is as
+	// much as the difference between an empty and a full worker.
+	Penalty float64
+	// Share is the part of the capacity that may be used while the worker
+	// ramps up after a return, in (0, 1]; the zero value means 1.
+	Share float64
+}
+
+// Free returns what no task holds.
+func (w *Worker) Free() Size { return w.Capacity.Minus(w.Committed) }
+
+// share returns the ramp-up share with its default.
+func (w *Worker) share() float64 {
+	if w.Share <= 0 || w.Share > 1 {
+		return 1
+	}
+	return w.Share
+}
+
+// Index finds workers by their free capacity. The zero value is ready for
+// use. It is not safe for concurrent use, Pick included.
+type Index struct {
+	slots   map[string]int32
+	ids     []string
+	workers []Worker
+	at      []location
+	unused  []int32
+
+	dcs     map[string]int32
+	dc      []dataCentre
+	racks   map[rackKey]int32
+	owners  map[string]*owner
+	forests [views]forest
+	levels  [views][pools]levels
+	// kinds counts the workers of each capacity.
+	kinds map[Size]int
+	tried []bool
+}
+
+// view names one of the two ways to count free capacity.
+type view uint8
+
+const (
+	viewFree    view = iota // capacity less all commitments
+	viewReclaim             // capacity less the commitments of urgent work
+	views
+)
+
+// location is where a worker stands in the index.
+type location struct {
+	dc     int32
+	rack   int32
+	pool   int8
+	open   bool
+	member int32
+	level  [views]int8
+}
+
+type rackKey struct {
+	dc   int32
+	name string
+}
+
+// Workers with and without accelerators are kept apart, so that tasks which
+// need none leave the former alone while they can.
+const (
+	poolPlain = iota
+	poolAccelerated
+	pools
+)
+
+// dataCentre holds the open workers of one data centre.
+type dataCentre struct {
+	members   [pools][]int32
+	capacity  Size // of open workers, scaled by their share
+	committed Size // of open workers
+}
+
+// Set adds the worker or replaces what is known of it.
+func (x *Index) Set(id string, w Worker) {
+	x.init()
+	w.Batch = w.Batch.min(w.Committed)
+	s, known := x.slots[id]
+	if !known {
+		s = x.slot(id)
+	}
+	old := x.workers[s]
+	if known {
+		x.dropKind(old.Capacity)
+	}
+	x.kinds[w.Capacity]++
+	l := &x.at[s]
+	dc, rack := x.place(w.DC, w.Rack)
+	p := int8(poolPlain)
+	if w.Capacity.Accelerators > 0 {
+		p = poolAccelerated
+	}
+	if l.open && !w.Closed && l.dc == dc && l.pool == p {
+		x.count(&old, dc, -1)
+		x.workers[s] = w
+		l.rack = rack
+		x.count(&w, dc, 1)
+		x.move(s)
+		return
+	}
+	x.leave(s)
+	x.workers[s] = w
+	l.dc, l.rack, l.pool = dc, rack, p
+	if !w.Closed {
+		x.join(s)
+	}
+}
+
+// Remove forgets the worker. Unknown ids are ignored.
+func (x *Index) Remove(id string) {
+	s, ok := x.slots[id]
+	if !ok {
+		return
+	}
+	x.leave(s)
+	x.dropKind(x.workers[s].Capacity)
+	delete(x.slots, id)
+	x.ids[s], x.workers[s], x.at[s] = "", Worker{}, location{}
+	x.unused = append(x.unused, s)
+}
+
+// Get returns what is known of the worker.
+func (x *Index) Get(id string) (w Worker, ok bool) {
+	s, ok := x.slots[id]
+	if !ok {
+		return Worker{}, false
+	}
+	return x.workers[s], true
+}
+
+// Len returns the number of workers, closed ones included.
+func (x *Index) Len() int { return len(x.slots) }
+
+// Possible reports whether a worker, open or closed, could hold s if it were
+// empty.
+func (x *Index) Possible(s Size) bool {
+	for c := range x.kinds {
+		if s.Fits(c) {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *Index) init() {
+	if x.slots != nil {
+		return
+	}
+	x.slots = make(map[string]int32)
+	x.dcs = make(map[string]int32)
+	x.racks = make(map[rackKey]int32)
+	x.kinds = make(map[Size]int)
+	x.grow("") // the slot that stands for none
+}
+
+// slot returns a place in the tables for a new worker.
+func (x *Index) slot(id string) int32 {
+	var s int32
+	if n := len(x.unused); n > 0 {
+		s = x.unused[n-1]
+		x.unused = x.unused[:n-1]
+		x.ids[s] = id
+	} else {
+		s = x.grow(id)
+	}
+	x.slots[id] = s
+	return s
+}
+
+// grow appends a slot to the tables.
+func (x *Index) grow(id string) int32 {
+	x.ids = append(x.ids, id)
+	x.workers = append(x.workers, Worker{})
+	x.at = append(x.at, location{})
+	for v := range views {
+		x.forests[v] = append(x.forests[v], node{})
+	}
+	return int32(len(x.ids) - 1)
+}
+
+// place returns the numbers of a data centre and of a rack in it.
+func (x *Index) place(dc, rack string) (d, r int32) {
+	d, ok := x.dcs[dc]
+	if !ok {
+		d = int32(len(x.dc))
+		x.dcs[dc] = d
+		x.dc = append(x.dc, dataCentre{})
+		x.tried = append(x.tried, false)
+	}
+	k := rackKey{d, rack}
+	r, ok = x.racks[k]
+	if !ok {
+		r = int32(len(x.racks))
+		x.racks[k] = r
+	}
+	return d, r
+}
+
+func (x *Index) dropKind(c Size) {
+	x.kinds[c]--
+	if x.kinds[c] == 0 {
+		delete(x.kinds, c)
+	}
+}
+
+// count adds the worker sign times to the sums of its data centre.
+func (x *Index) count(w *Worker, dc int32, sign int64) {
+	d := &x.dc[dc]
+	c := scaled(w.Capacity, w.share())
+	d.capacity = d.capacity.Plus(Size{sign * c.Millicores, sign * c.MemoryMB, sign * c.Accelerators})
+	u := w.Committed
+	d.committed = d.committed.Plus(Size{sign * u.Millicores, sign * u.MemoryMB, sign * u.Accelerators})
+}
+
+func scaled(s Size, f float64) Size {
+	if f == 1 {
+		return s
+	}
+	return Size{int64(float64(s.Millicores) * f), int64(float64(s.MemoryMB) * f), int64(float64(s.Accelerators) * f)}
+}
+
+// room returns what the view counts as free on the worker.
+func (x *Index) room(s int32, v view) Size {
+	w := &x.workers[s]
+	free := w.Free()
+	if v == viewReclaim {
+		free = free.Plus(w.Batch)
+	}
+	return free
+}
+
+// join enters an open worker.
+func (x *Index) join(s int32) {
+	l := &x.at[s]
+	p := &x.dc[l.dc].members[l.pool]
+	l.open = true
+	l.member = int32(len(*p))
+	*p = append(*p, s)
+	x.count(&x.workers[s], l.dc, 1)
+	for v := range views {
+		x.enter(s, v)
+	}
+}
+
+// leave takes the worker out of all searches.
+func (x *Index) leave(s int32) {
+	l := &x.at[s]
+	if !l.open {
+		return
+	}
+	x.count(&x.workers[s], l.dc, -1)
+	p := &x.dc[l.dc].members[l.pool]
+	end := len(*p) - 1
+	last := (*p)[end]
+	(*p)[l.member] = last
+	x.at[last].member = l.member
+	*p = (*p)[:end]
+	for v := range views {
+		x.exit(s, v)
+	}
+	l.open = false
+}
+
+// move brings an open worker to the level of its present room.
+func (x *Index) move(s int32) {
+	for v := range views {
+		if x.forests[v][s].room != x.room(s, v) {
+			x.exit(s, v)
+			x.enter(s, v)
+		}
+	}
+}
+
+func (x *Index) enter(s int32, v view) {
+	l := &x.at[s]
+	room := x.room(s, v)
+	lv := level(room)
+	l.level[v] = lv
+	ls := &x.levels[v][l.pool]
+	ls.roots[lv] = x.forests[v].add(ls.roots[lv], s, room)
+	ls.used |= 1 << lv
+}
+
+func (x *Index) exit(s int32, v view) {
+	l := &x.at[s]
+	lv := l.level[v]
+	ls := &x.levels[v][l.pool]
+	ls.roots[lv] = x.forests[v].remove(ls.roots[lv], s)
+	if ls.roots[lv] == none {
+		ls.used &^= 1 << lv
+	}
+}
--- a/place/size.go
+++ b/place/size.go
@@ -1,4 +1,3 @@
-// Package place chooses the worker for a task among many.
 package place
 
 import "fmt"
@@ -25,6 +24,11 @@
 	return Size{max(s.Millicores, o.Millicores), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
 }
 
+// min returns the smaller of s and o in each dimension.
+func (s Size) min(o Size) Size {
+	return Size{min(s.Millicores, o.Millicores), min(s.MemoryMB, o.MemoryMB), min(s.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether s is at most o in every dimension.
 func (s Size) Fits(o Size) bool {
 	return s.Millicores <= o.Millicores && s.MemoryMB <= o.MemoryMB && s.Accelerators <= o.Accelerators
