core: baselines to measure the policies against

Change: options for random routing, first fit, no control of interference or eviction on sight, and draining at once.

--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -449,6 +449,9 @@
 	}
 	ts := a.heldInOrder()
 	last := latest(a.at.Now, by.Add(-evictMargin))
+	if a.pol.DrainAtOnce {
+		last = a.at.Now
+	}
 	for i, t := range ts {
 		if t.evictAt.IsZero() {
 			t.evictAt = latest(a.at.Now, last.Add(-evictSpread*time.Duration(i)/time.Duration(len(ts))))
--- a/core/entrynoise.go
+++ b/core/entrynoise.go
@@ -16,6 +16,8 @@
 	moveEvery = 20 * time.Second
 	// baseSmoothing is the weight of a new sample in a service's baseline.
 	baseSmoothing = 0.05
+	// sightRatio is the slow-down at which the baseline evicts.
+	sightRatio = 1.1
 	// costlyPlace is the cost above which another worker is looked for.
 	costlyPlace = 0.15
 	// costTries bounds the workers that are compared for a batch task.
@@ -33,6 +35,9 @@
 // observe learns from a beat how much the batch tasks on a VM slow its
 // services down, and decides what to do about it.
 func (e *Entry) observe(w *workerView, ans *BeatAnswer) {
+	if e.pol.Noise == NoiseOff {
+		return
+	}
 	if w.beat.Sent.Sub(w.noise.observed) < lateEvery {
 		e.easeClaims(w, ans)
 		return
@@ -48,7 +53,7 @@
 		if len(loads) > 0 {
 			e.noise.ObserveMix(s.Service, loads, ratio, e.at.Now)
 		}
-		if act, c := e.noise.Act(s.Service, loads, w.noise.action); act > worst {
+		if act, c := e.act(s.Service, loads, w.noise.action, ratio); act > worst {
 			worst, class = act, c
 		}
 	}
@@ -60,6 +65,18 @@
 	e.moveClaim(w)
 }
 
+// act decides what to do about the batch tasks beside a service. The baseline
+// that evicts on sight moves a task at every slow-down.
+func (e *Entry) act(service string, loads []noise.Load, last noise.Action, ratio float64) (noise.Action, string) {
+	if e.pol.Noise != NoiseSight {
+		return e.noise.Act(service, loads, last)
+	}
+	if len(loads) == 0 || ratio < sightRatio {
+		return noise.Leave, ""
+	}
+	return noise.Move, loads[0].Class
+}
+
 // noiseReason names the actions against interference in counters.
 var noiseReason = map[noise.Action]Reason{
 	noise.Leave: "leave", noise.Throttle: "throttle", noise.Move: "move",
@@ -111,11 +128,15 @@
 
 // moveClaim moves one task that disturbs a service too much to be throttled.
 func (e *Entry) moveClaim(w *workerView) {
-	if w.noise.action != noise.Move || e.at.Now.Sub(w.noise.moved) < moveEvery {
+	stay := moveEvery
+	if e.pol.Noise == NoiseSight {
+		stay = 0
+	}
+	if w.noise.action != noise.Move || e.at.Now.Sub(w.noise.moved) < stay {
 		return
 	}
 	for _, c := range w.claimList() {
-		if c.class != w.noise.class || c.urgent || c.losing || e.at.Now.Sub(c.since) < moveEvery {
+		if c.class != w.noise.class || c.urgent || c.losing || e.at.Now.Sub(c.since) < stay {
 			continue
 		}
 		j := e.jobs[c.attempt.Task.Job]
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -122,6 +122,9 @@
 		Size: j.row.Spec.Size, Spread: j.row.Spec.Urgent, Owner: string(t.Job), Avoid: e.avoided(j, t.N),
 	}
 	seed := e.at.Seed ^ uint64(e.token)<<20 ^ uint64(t.N)
+	if e.pol.FirstFit {
+		return e.firstFit(need)
+	}
 	if !j.row.Spec.Urgent {
 		id, ok := e.pickQuiet(need, j.row.Spec.Class, seed)
 		return WorkerID(id), ok
@@ -136,6 +139,17 @@
 	return WorkerID(id), ok
 }
 
+// firstFit is the baseline that takes the first open worker with room.
+func (e *Entry) firstFit(need place.Need) (WorkerID, bool) {
+	for _, id := range e.workerIDs() {
+		w, ok := e.index.Get(string(id))
+		if ok && !w.Closed && need.Size.Fits(w.Capacity.Minus(w.Committed)) && indexOf(need.Avoid, string(id)) < 0 {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // avoided returns the workers that a task should not go to for now.
 func (e *Entry) avoided(j *jobView, n int) []string {
 	var ids []string
--- a/core/entryreq.go
+++ b/core/entryreq.go
@@ -142,6 +142,7 @@
 	sv := e.services[name]
 	if sv == nil {
 		sv = &serviceView{name: name}
+		sv.set.Policy = e.pol.Route
 		e.services[name] = sv
 	}
 	return sv
--- a/core/policy.go
+++ b/core/policy.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"jayloft/route"
 )
 
 // Policy holds the numbers that both reducers decide by. The zero value is
@@ -55,9 +57,25 @@
 	// RampFor is how long a returned data centre takes to reach its full share.
 	RampFor time.Duration
 
+	// Baselines to measure against; the zero values are the real policies.
+	Route       route.Policy // how a request's worker is chosen
+	FirstFit    bool         // the first worker with room gets a task
+	Noise       NoiseMode    // what is done about interference
+	DrainAtOnce bool         // a drain stops every task when it is learned of
+
 	off guard
 }
 
+// NoiseMode says what is done about interference.
+type NoiseMode uint8
+
+// The modes of control of interference.
+const (
+	NoiseLearn NoiseMode = iota // learnt per pair; eased first, then moved
+	NoiseOff                    // nothing is done
+	NoiseSight                  // every slow-down evicts a batch task
+)
+
 // DefaultPolicy returns the policy that jayloft runs with unless settings say
 // otherwise.
 func DefaultPolicy() Policy {
