codec: carry the name of a try, the batch mix and the eased tasks

Cause: fields added to the events were not mapped, so every try had the same name and one remembered refusal was given to all later requests of an agent. Ruled out: a mix-up of answers in io. Change: the fields are mapped, the round trip test covers them, and a refusal is kept per try and request id.

--- a/core/agentserve.go
+++ b/core/agentserve.go
@@ -205,13 +205,16 @@
 func (a *Agent) refuse(ev ServeAsked, r Reason) {
 	a.count("refuse", r)
 	ans := ServeAnswer{ID: ev.Request.ID, Outcome: OutcomeRefused, Reason: r}
-	a.serve.refused.put(ev.Call, ans, a.at.Now, a.at.Now.Add(refusedFor))
+	a.serve.refused.put(tryKey(ev.Call, ev.Request.ID), ans, a.at.Now, a.at.Now.Add(refusedFor))
 	a.emit(ServeReply{Token: ev.Token, Answer: a.load(ans)})
 }
 
+// tryKey names one try of one request.
+func tryKey(call string, id RequestID) string { return call + " " + string(id) }
+
 // answeredBefore returns the answer that a second copy of a try gets.
 func (a *Agent) answeredBefore(ev ServeAsked) (ServeAnswer, bool) {
-	if ans, ok := a.serve.refused.answers[ev.Call]; ok {
+	if ans, ok := a.serve.refused.answers[tryKey(ev.Call, ev.Request.ID)]; ok {
 		return ans, true
 	}
 	if ev.Run != a.site.Run {
@@ -327,7 +330,7 @@
 		}
 		a.count("refuse", ReasonDeadline)
 		ans := ServeAnswer{ID: s.req.ID, Outcome: OutcomeRefused, Reason: ReasonDeadline}
-		a.serve.refused.put(s.call, ans, a.at.Now, a.at.Now.Add(refusedFor))
+		a.serve.refused.put(tryKey(s.call, s.req.ID), ans, a.at.Now, a.at.Now.Add(refusedFor))
 		a.finish(s, ans)
 	}
 	clear(a.serve.queue[len(keep):])
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"jayloft/core"
 	"jayloft/wire"
@@ -28,6 +29,7 @@
 		Config:      b.Config,
 		Leaving:     b.Leaving,
 		Gone:        Strings[string](b.Gone),
+		Mix:         each(b.Mix, mixToWire),
 	}
 }
 
@@ -64,12 +66,15 @@
 		Config:    m.GetConfig(),
 		Leaving:   m.GetLeaving(),
 		Gone:      Strings[core.Incarnation](m.GetGone()),
+		Mix:       each(m.GetMix(), mixFromWire),
 	}
 	return b, f.err("beat")
 }
 
 func loadToWire(l core.ServiceLoad) *wire.ServiceLoad {
-	return &wire.ServiceLoad{Service: l.Service, Running: int32(l.Running), Queued: int32(l.Queued)}
+	return &wire.ServiceLoad{
+		Service: l.Service, Running: int32(l.Running), Queued: int32(l.Queued), MeanNs: int64(l.Mean),
+	}
 }
 
 func loadFromWire(l *wire.ServiceLoad) core.ServiceLoad {
@@ -77,9 +82,26 @@
 		Service: l.GetService(),
 		Running: int(l.GetRunning()),
 		Queued:  int(l.GetQueued()),
+		Mean:    time.Duration(l.GetMeanNs()),
 	}
 }
 
+func mixToWire(c core.ClassLoad) *wire.ClassLoad {
+	return &wire.ClassLoad{Class: c.Class, Running: int32(c.Running)}
+}
+
+func mixFromWire(c *wire.ClassLoad) core.ClassLoad {
+	return core.ClassLoad{Class: c.GetClass(), Running: int(c.GetRunning())}
+}
+
+func easeToWire(e core.Ease) *wire.Ease {
+	return &wire.Ease{Attempt: AttemptToWire(e.Attempt), Percent: int32(e.Percent)}
+}
+
+func easeFromWire(e *wire.Ease) core.Ease {
+	return core.Ease{Attempt: AttemptFromWire(e.GetAttempt()), Percent: int(e.GetPercent())}
+}
+
 // BeatAnswerToWire converts an entry's answer to a heartbeat.
 func BeatAnswerToWire(a core.BeatAnswer) *wire.BeatResponse {
 	return &wire.BeatResponse{
@@ -92,6 +114,7 @@
 		Moved:    AttemptsToWire(a.Moved),
 		Entries:  each(a.Entries, netip.AddrPort.String),
 		Prior:    string(a.Prior),
+		Ease:     each(a.Ease, easeToWire),
 	}
 }
 
@@ -108,6 +131,7 @@
 		Moved:    AttemptsFromWire(m.GetMoved()),
 		Entries:  each(m.GetEntries(), func(s string) netip.AddrPort { return f.addr("entries", s) }),
 		Prior:    core.Incarnation(m.GetPrior()),
+		Ease:     each(m.GetEase(), easeFromWire),
 	}
 	return a, f.err("beat answer")
 }
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -24,7 +24,8 @@
 	b := core.Beat{
 		Worker: "w", Inc: "i", Run: "r", Addr: netip.MustParseAddrPort("10.0.0.1:7000"),
 		DC: "d", Rack: "k", Sent: sent, Capacity: size, Committed: size, Batch: size, Used: size,
-		Slots: 8, Services: []core.ServiceLoad{{Service: "s", Running: 1, Queued: 2}},
+		Slots: 8, Services: []core.ServiceLoad{{Service: "s", Running: 1, Queued: 2, Mean: time.Second}},
+		Mix:     []core.ClassLoad{{Class: "c", Running: 4}},
 		Running: []core.Attempt{attempt},
 		Ends:    []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why"}},
 		Config:  7, Leaving: true, Gone: []core.Incarnation{"g"},
@@ -41,6 +42,7 @@
 		Rows: []table.Row{{Key: "k", Version: 2, Value: []byte("v"), Deleted: true}},
 		Full: true, Recorded: []core.Attempt{attempt}, Moved: []core.Attempt{attempt},
 		Entries: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000")}, Prior: "p",
+		Ease: []core.Ease{{Attempt: attempt, Percent: 50}},
 	}
 	wholly(t, a)
 	got, err := BeatAnswerFromWire(BeatAnswerToWire(a))
@@ -65,13 +67,13 @@
 		Deadline: sent.Add(time.Second), Idempotent: true,
 	}
 	wholly(t, r)
-	m := ServeToWire(core.Serve{Inc: "i", Run: "n", Request: r}, sent)
+	m := ServeToWire(core.Serve{Name: "e/1", Inc: "i", Run: "n", Request: r}, sent)
 	skew := 3 * time.Hour // of the receiver's clock
 	got, err := ServeFromWire(m, sent.Add(skew))
 	assert.NilError(t, err)
 	assert.Equal(t, got.Request.Deadline.Sub(sent), skew+time.Second)
 	got.Request.Deadline = r.Deadline
-	assert.Assert(t, reflect.DeepEqual(got, core.ServeAsked{Inc: "i", Run: "n", Request: r}), "%+v", got)
+	assert.Assert(t, reflect.DeepEqual(got, core.ServeAsked{Call: "e/1", Inc: "i", Run: "n", Request: r}), "%+v", got)
 }
 
 func TestServeAnswerRoundTrip(t *testing.T) {
@@ -120,7 +122,7 @@
 		{"serve", func() error {
 			_, err := ServeFromWire(&wire.ServeRequest{}, sent)
 			return err
-		}, []string{"id is empty", "incarnation is empty", "run is empty", "service is empty"}},
+		}, []string{"id is empty", "incarnation is empty", "run is empty", "service is empty", "call is empty"}},
 		{"settle state", func() error {
 			_, err := SettleStateFromWire("perhaps")
 			return err
--- a/internal/codec/serve.go
+++ b/internal/codec/serve.go
@@ -21,6 +21,7 @@
 		Body:        s.Request.Body,
 		LeftNs:      int64(s.Request.Deadline.Sub(now)),
 		Idempotent:  s.Request.Idempotent,
+		Call:        s.Name,
 	}
 }
 
@@ -32,9 +33,11 @@
 	f.need("incarnation", m.GetIncarnation())
 	f.need("run", m.GetRun())
 	f.need("service", m.GetService())
+	f.need("call", m.GetCall())
 	s := core.ServeAsked{
-		Inc: core.Incarnation(m.GetIncarnation()),
-		Run: core.Run(m.GetRun()),
+		Call: m.GetCall(),
+		Inc:  core.Incarnation(m.GetIncarnation()),
+		Run:  core.Run(m.GetRun()),
 		Request: core.Request{
 			ID:         core.RequestID(m.GetId()),
 			Service:    m.GetService(),
