--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -55,7 +55,7 @@
 		e.show(ev.Token, cmd)
 		return
 	case Why:
-		e.reply(ev.Token, e.why(cmd))
+		e.whyAsked(ev.Token, cmd)
 		return
 	}
 	if why := e.checkCommand(); why != ReasonNone {
@@ -315,6 +315,7 @@
 
 func (e *Entry) commandDone(c *command, rev uint64) {
 	e.finish(c, CommandResult{Outcome: CommandDone, Text: c.reply, Version: c.version})
+	e.round.next = earliest(e.round.next, e.round.started.Add(e.pol.ReadEvery/10)) // to act on it soon
 	if c.job == nil || !e.shards[ShardOf(c.job.Spec.ID)].owned {
 		return
 	}
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -312,5 +312,7 @@
 		e.jobRead(w, ev)
 	case waitCommand:
 		e.commandRead(w.c, ev)
+	case waitWhy:
+		e.whyRead(w, ev)
 	}
 }
--- a/core/entrywhy.go
+++ b/core/entrywhy.go
@@ -8,6 +8,62 @@
 // whyColumns are the columns of every answer to `why`.
 var whyColumns = []string{"what", "reason"}
 
+// waitWhy waits for the row of a job that another entry schedules.
+type waitWhy struct {
+	token Token
+	cmd   Why
+}
+
+func (waitWhy) wait() {}
+
+// whyAsked answers `why`. The row of a job that this entry doesn't hold is read
+// from the table.
+func (e *Entry) whyAsked(t Token, cmd Why) {
+	id := JobID(cmd.ID)
+	if cmd.Kind == "task" {
+		id = ParseTask(cmd.ID).Job
+	}
+	job := cmd.Kind == "task" || cmd.Kind == "job"
+	if !job || e.jobs[id] != nil || !e.ready() || e.circuit.Open(e.at.Now) {
+		e.reply(t, e.why(cmd))
+		return
+	}
+	e.emit(ReadRows{Token: e.expect(waitWhy{token: t, cmd: cmd}), Keys: []string{keyJob(id)}})
+}
+
+func (e *Entry) whyRead(w waitWhy, ev RowsAnswered) {
+	if ev.Fault != FaultNone {
+		e.storeFault("read")
+		e.reply(w.token, CommandResult{Outcome: CommandRefused, Text: commandText[ReasonStore], RetryAfter: e.comeBack()})
+		return
+	}
+	for _, r := range ev.View.Rows {
+		rec, err := Decode(r.Key, r.Value)
+		row, ok := rec.(JobRow)
+		if r.Version == 0 || err != nil || !ok {
+			continue
+		}
+		e.reply(w.token, e.whyRow(w.cmd, row))
+		return
+	}
+	e.reply(w.token, *refused("no %s is named %q", w.cmd.Kind, w.cmd.ID))
+}
+
+// whyRow gives the reasons that a job's row holds.
+func (e *Entry) whyRow(cmd Why, row JobRow) CommandResult {
+	j := &jobView{row: row}
+	rows := jobReasons(j)
+	if cmd.Kind == "task" {
+		id := ParseTask(cmd.ID)
+		if id.N >= len(row.Tasks) {
+			return *refused("job %q has %d tasks", id.Job, len(row.Tasks))
+		}
+		rows = e.taskReasons(j, id.N)
+	}
+	rows = append(rows, []string{"scheduled by", string(owner(ShardOf(row.Spec.ID), e.live()))})
+	return CommandResult{Outcome: CommandDone, Version: e.config.n, Columns: whyColumns, Rows: rows}
+}
+
 // why gives the reasons of what became of a thing, as this entry knows them.
 func (e *Entry) why(cmd Why) CommandResult {
 	var rows [][]string
@@ -48,7 +104,11 @@
 	if j == nil || id.N >= len(j.row.Tasks) {
 		return nil
 	}
-	t := &j.row.Tasks[id.N]
+	return e.taskReasons(j, id.N)
+}
+
+func (e *Entry) taskReasons(j *jobView, n int) [][]string {
+	t := &j.row.Tasks[n]
 	rows := [][]string{
 		{"state", t.State.String()},
 		{"attempt", fmt.Sprint(t.Attempt)},
@@ -62,9 +122,9 @@
 	}
 	switch t.State {
 	case TaskWaiting:
-		rows = append(rows, []string{"waits for", waitText(j.waits[id.N])})
+		rows = append(rows, []string{"waits for", waitText(j.waits[n])})
 	case TaskClaimed:
-		rows = append(rows, e.whyPlaced(j, id.N)...)
+		rows = append(rows, e.whyPlaced(j, n)...)
 	}
 	return rows
 }
@@ -105,6 +165,10 @@
 	if j == nil {
 		return nil
 	}
+	return jobReasons(j)
+}
+
+func jobReasons(j *jobView) [][]string {
 	cells := jobCells(j.row)
 	rows := [][]string{
 		{"state", cells[9]}, {"waiting", cells[5]}, {"running", cells[6]}, {"done", cells[7]}, {"other", cells[8]},
--- a/fake/agent.go
+++ b/fake/agent.go
@@ -83,7 +83,7 @@
 // carry does one effect. A process that is paused meanwhile does it later.
 func (g *agent) carry(eff core.AgentEffect, life int) {
 	if g.proc.paused {
-		g.w.deliver(g.proc, life, func() { g.carry(eff, life) })
+		g.proc.undone = append(g.proc.undone, func() { g.carry(eff, life) })
 		return
 	}
 	switch x := eff.(type) {
--- a/fake/entry.go
+++ b/fake/entry.go
@@ -83,7 +83,7 @@
 // carry does one effect. A process that is paused meanwhile does it later.
 func (e *entry) carry(eff core.EntryEffect, life int) {
 	if e.proc.paused {
-		e.w.deliver(e.proc, life, func() { e.carry(eff, life) })
+		e.proc.undone = append(e.proc.undone, func() { e.carry(eff, life) })
 		return
 	}
 	switch x := eff.(type) {
--- a/fake/proc.go
+++ b/fake/proc.go
@@ -35,6 +35,7 @@
 	pausedAt time.Time
 	resumed  time.Time
 	held     []func() // arrived while it was paused
+	undone   []func() // effects that it was to carry out when it was paused
 	inbound  []*call
 	trap     *trap
 }
@@ -76,7 +77,7 @@
 
 func (w *World) boot(p *proc) {
 	p.life++
-	p.up, p.paused, p.held, p.trap = true, false, nil, nil
+	p.up, p.paused, p.held, p.undone, p.trap = true, false, nil, nil, nil
 	p.resumed = w.now
 	w.log(p.name, fmt.Sprintf("starts life %d", p.life))
 }
@@ -88,7 +89,7 @@
 		return
 	}
 	w.log(p.name, "is killed")
-	p.up, p.paused, p.held, p.trap = false, false, nil, nil
+	p.up, p.paused, p.held, p.undone, p.trap = false, false, nil, nil, nil
 	calls := p.inbound
 	p.inbound = nil
 	if w.chance(0.5) {
@@ -113,11 +114,15 @@
 	})
 }
 
-// resume runs what has arrived meanwhile, in any order.
+// resume carries out the effects that are left, in order, and then what has
+// arrived meanwhile, in any order.
 func (w *World) resume(p *proc) {
 	w.log(p.name, "resumes")
-	held := p.held
-	p.paused, p.held, p.resumed = false, nil, w.now
+	held, undone := p.held, p.undone
+	p.paused, p.held, p.undone, p.resumed = false, nil, nil, w.now
+	for _, do := range undone {
+		do()
+	}
 	w.rand.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
 	for _, do := range held {
 		do()
--- a/load/report.go
+++ b/load/report.go
@@ -2,13 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	stdio "io"
 	"math"
 	"net/http"
 	"slices"
-	"strings"
-	"text/tabwriter"
 	"time"
 
 	"jayloft/core"
@@ -128,56 +125,3 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(r)
 }
-
-// WriteText writes the report for people.
-func (r *Report) WriteText(w stdio.Writer) error {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s at %s, policy %s, seed %d, %s\n\n", r.Name, r.Site, r.Policy, r.Seed, r.Started.Format(time.RFC3339))
-	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "phase\tload\trequests\tp50 ms\tp90 ms\tp99 ms\tp99.9 ms\tgood/s\tretries\ttasks/s\toutcomes")
-	for _, f := range r.Phases {
-		phase := f.Phase
-		if phase == "" {
-			phase = "all"
-		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.2f%%\t%.2f\t%s\n", phase, f.Load, f.Requests,
-			f.P50, f.P90, f.P99, f.P999, f.Goodput, 100*f.Retries, f.Tasks, outcomes(f.Outcomes))
-	}
-	_ = t.Flush() // a Builder doesn't fail
-	if len(r.Notes) > 0 {
-		fmt.Fprintln(&b)
-	}
-	for _, n := range r.Notes {
-		fmt.Fprintf(&b, "%6.1f s  %s\n", n.At.D().Seconds(), n.Text)
-	}
-	if len(r.Checks) > 0 {
-		fmt.Fprintln(&b)
-	}
-	for _, v := range r.Checks {
-		word := "ok    "
-		if !v.Pass {
-			word = "FAILED"
-		}
-		fmt.Fprintf(&b, "%s %s: %.4g, want %s\n", word, v.Text, v.Value, v.Bound)
-	}
-	_, err := stdio.WriteString(w, b.String())
-	return err
-}
-
-// outcomes writes counts, the largest first.
-func outcomes(m map[string]int) string {
-	var names []string
-	for n := range m {
-		names = append(names, n)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if m[a] != m[b] {
-			return m[b] - m[a]
-		}
-		return strings.Compare(a, b)
-	})
-	for i, n := range names {
-		names[i] = fmt.Sprintf("%s %d", n, m[n])
-	}
-	return strings.Join(names, ", ")
-}
--- a/load/site.go
+++ b/load/site.go
@@ -40,7 +40,6 @@
 	entries  []*entry
 	operator *operator
 	policy   []core.Option
-	journal  *stand.Journal // of the workers' tasks and requests
 }
 
 // NewSite starts the site that the experiment names.
--- a/procs/load_test.go
+++ b/procs/load_test.go
@@ -118,6 +118,9 @@
 			s.t.Logf("%s %s at %s: %v", q.service, q.id, q.entry, q.err)
 		}
 		t[outcome]++
+		if outcome != "done" {
+			s.t.Logf("%s %s at %s: %d %s", q.service, q.id, q.entry, q.reply.status, q.reply.body)
+		}
 		s.checkOne(q, outcome, calls[q.id])
 	}
 	s.t.Logf("outcomes: %v of %d", t, len(all))
