core: interference learnt from settled mixes; quotas, fences and readiness

Ruled out: the noise model's threshold. Change: ratios are learnt only from a mix unchanged for two seconds, decided on in every beat, and an agent admits by the growth it has seen of a class.

--- a/core/agent.go
+++ b/core/agent.go
@@ -43,7 +43,8 @@
 	exited      bool
 	nextInspect time.Time
 	inspecting  bool
-	armed       time.Time // of the last Wake
+	growth      map[string]growth // of batch tasks, by class
+	armed       time.Time         // of the last Wake
 }
 
 // beatPeer is an entry that the agent sends beats to.
@@ -61,6 +62,7 @@
 		held:   map[TaskID]*heldTask{},
 		ends:   map[Attempt]End{},
 		graves: map[Attempt]time.Time{},
+		growth: map[string]growth{},
 		gone:   map[Incarnation]bool{},
 		peers:  map[netip.AddrPort]*beatPeer{},
 	}
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -45,11 +45,11 @@
 		if o.Urgent {
 			room = room.Plus(a.batch())
 		}
-		if !o.Size.Fits(room) {
+		if !a.expected(o).Fits(room) {
 			return ReasonRoom
 		}
 	}
-	a.held[o.Attempt.Task] = &heldTask{order: o, saved: a.at.Now}
+	a.held[o.Attempt.Task] = &heldTask{order: o, saved: a.at.Now, expect: a.expected(o)}
 	a.makeRoom()
 	return ReasonNone
 }
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -60,7 +60,7 @@
 	for _, e := range a.ends {
 		b.Ends = append(b.Ends, e)
 	}
-	sort.Slice(b.Ends, func(i, j int) bool { return lessTask(b.Ends[i].Attempt.Task, b.Ends[j].Attempt.Task) })
+	sort.Slice(b.Ends, func(i, j int) bool { return lessAttempt(b.Ends[i].Attempt, b.Ends[j].Attempt) })
 	for inc := range a.gone {
 		b.Gone = append(b.Gone, inc)
 	}
@@ -72,7 +72,7 @@
 func (a *Agent) mix() []ClassLoad {
 	n := map[string]int{}
 	for _, t := range a.held {
-		if !t.order.Urgent && t.listed {
+		if !t.order.Urgent && t.started {
 			n[t.order.Class]++
 		}
 	}
@@ -88,7 +88,7 @@
 func (a *Agent) ease(es []Ease) {
 	for _, s := range es {
 		t, ok := a.held[s.Attempt.Task]
-		if !ok || t.order.Attempt != s.Attempt || !t.listed || t.stopping != "" || t.percent == s.Percent {
+		if !ok || t.order.Attempt != s.Attempt || !t.started || t.stopping != "" || t.percent == s.Percent {
 			continue
 		}
 		t.percent = s.Percent
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -19,6 +19,7 @@
 	saved    time.Time // last checkpoint, or the start
 	percent  int       // of full speed; zero if never changed
 	moved    bool      // its claim is another's: its end is of no use
+	expect   Size      // by what its class was seen to use
 }
 
 func adopted(t WorkerTask) *heldTask {
@@ -30,9 +31,9 @@
 	}
 }
 
-// size returns what the task is committed at: the larger of what it declared
-// and what it was seen to use.
-func (t *heldTask) size() Size { return t.order.Size.Max(t.peak) }
+// size returns what the task is committed at: the largest of what it declared,
+// what it was seen to use, and what its class was seen to use.
+func (t *heldTask) size() Size { return t.order.Size.Max(t.peak).Max(t.expect) }
 
 // Times of the agent's dealings with its worker.
 const (
@@ -192,6 +193,7 @@
 	case ev.Started:
 		t.started = true
 		a.renewTask(t)
+		a.beatSoon() // an entry may want it to run slower
 	default:
 		a.ended(t, End{Attempt: ev.Attempt, Kind: EndFailed, Reason: "worker refused: " + ev.Reason})
 	}
@@ -244,6 +246,7 @@
 // ended moves a task from held to ends.
 func (a *Agent) ended(t *heldTask, e End) {
 	delete(a.held, t.order.Attempt.Task)
+	a.learnGrowth(t)
 	if t.moved {
 		return
 	}
@@ -280,6 +283,13 @@
 	return next
 }
 
+func lessAttempt(t, u Attempt) bool {
+	if t.Task != u.Task {
+		return lessTask(t.Task, u.Task)
+	}
+	return t.Number < u.Number
+}
+
 func latest(t, u time.Time) time.Time {
 	if u.After(t) {
 		return u
--- a/core/conf.go
+++ b/core/conf.go
@@ -12,6 +12,9 @@
 	rows map[string]confRow
 	rev  uint64 // table version of KeyVersion, zero before the first read
 	n    uint64 // number of changes, as operators see it
+
+	delta   []table.Row // the last answer of since, nil after a change
+	deltaOf uint64      // the revision that it was for
 }
 
 type confRow struct {
@@ -29,6 +32,7 @@
 	if v.rows == nil || full {
 		v.rows = map[string]confRow{}
 	}
+	v.delta = nil
 	var errs []error
 	for _, r := range rows {
 		if old, ok := v.rows[r.Key]; ok && monotonic && old.row.Version >= r.Version {
@@ -58,15 +62,20 @@
 	return nil
 }
 
-// since returns the rows that were written after the revision.
+// since returns the rows that were written after the revision. Nearly all
+// agents ask for the same, so the last answer is kept.
 func (v *confView) since(rev uint64) []table.Row {
-	var rows []table.Row
+	if v.delta != nil && v.deltaOf == rev {
+		return v.delta
+	}
+	rows := []table.Row{}
 	for _, r := range v.rows {
 		if r.row.Version > rev {
 			rows = append(rows, r.row)
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	v.delta, v.deltaOf = rows, rev
 	return rows
 }
 
--- a/core/entry.go
+++ b/core/entry.go
@@ -65,6 +65,7 @@
 	gone     bool // the own row was deleted, or that can't be known
 	exited   bool
 	armed    time.Time
+	began    time.Time // when this process began
 }
 
 // wait is what an effect's answer will be matched to. The sealed set of waits
@@ -104,6 +105,9 @@
 func (e *Entry) Reduce(at Stamp, ev EntryEvent) []EntryEffect {
 	e.at = at
 	e.out = e.out[:0]
+	if e.began.IsZero() {
+		e.began = at.Now
+	}
 	switch ev := ev.(type) {
 	case Tick:
 	case BeatHeard:
@@ -191,8 +195,14 @@
 // ready reports whether the entry has read the configuration.
 func (e *Entry) ready() bool { return e.round.done > 0 }
 
-// Ready reports whether the entry may serve.
-func (e *Entry) Ready() bool { return e.ready() && !e.leaving }
+// Ready reports whether the entry may serve: it has read the configuration, and
+// the agents have had the time to announce themselves.
+func (e *Entry) Ready() bool {
+	return e.ready() && !e.leaving && e.at.Now.Sub(e.began) > announceBeats*e.pol.BeatEvery
+}
+
+// announceBeats is the number of beats within which agents find an entry.
+const announceBeats = 3
 
 // leave begins a planned stop: nothing new is taken in.
 func (e *Entry) leave(ev Leave) {
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -107,12 +107,14 @@
 // unvouched returns an incarnation that claims still name, and that is neither
 // in use nor known to be dead.
 func (w *workerView) unvouched() Incarnation {
-	for _, c := range w.claimList() {
-		if c.holder.Inc != w.inc && !w.past[c.holder.Inc] {
-			return c.holder.Inc
+	var prior Incarnation
+	for _, c := range w.claims {
+		inc := c.holder.Inc
+		if inc != w.inc && !w.past[inc] && (prior == "" || inc < prior) {
+			prior = inc
 		}
 	}
-	return ""
+	return prior
 }
 
 // takeBeat brings the view of a worker up to date.
--- a/core/entryfence.go
+++ b/core/entryfence.go
@@ -16,8 +16,7 @@
 
 // waitFence waits for the write of a fence row.
 type waitFence struct {
-	worker WorkerID
-	key    string
+	row FenceRow
 }
 
 // waitHear waits for another entry's word on a worker.
@@ -169,22 +168,27 @@
 	e.count("fence", ReasonCut)
 	w.asked = e.at.Now // do not fence again before this one is answered
 	w.askedN = 1
-	e.commit(waitFence{worker: w.id, key: key}, []table.Cond{{Key: key, Version: f.version}}, []Record{row}, []string{key})
+	e.commit(waitFence{row: row}, []table.Cond{{Key: key, Version: f.version}}, []Record{row}, []string{key})
 }
 
 // fenceAnswered learns what became of a fence. A lost answer is cleared up by
 // the regular reads.
 func (e *Entry) fenceAnswered(q waitFence, ev CommitAnswered) {
-	w := e.workers[q.worker]
+	w := e.workers[q.row.Worker]
 	if w == nil {
 		return
 	}
 	w.askedN = 0
+	key := keyFence(q.row.Worker)
 	for _, r := range ev.Result.Conflicts {
-		if r.Key == q.key {
+		if r.Key == key {
 			e.fenceRow(r)
 		}
 	}
+	b, err := Encode(q.row)
+	if ev.Result.Committed && err == nil {
+		e.fenceRow(table.Row{Key: key, Version: ev.Result.Revision, Value: b})
+	}
 }
 
 // claimList returns the claims at a worker in the order of their tasks.
--- a/core/entrynoise.go
+++ b/core/entrynoise.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"jayloft/noise"
@@ -10,10 +11,13 @@
 // Numbers of the control of interference.
 const (
 	// easedPercent is the speed of a task that disturbs a service.
-	easedPercent = 50
+	easedPercent = 40
 	// moveEvery is the least time between two moves away from one worker, and
 	// the least stay of a task before it is moved.
 	moveEvery = 20 * time.Second
+	// settledMix is how long the batch tasks on a VM must have been the same
+	// before its service times are learnt from.
+	settledMix = 2 * lateEvery
 	// baseSmoothing is the weight of a new sample in a service's baseline.
 	baseSmoothing = 0.05
 	// sightRatio is the slow-down at which the baseline evicts.
@@ -29,6 +33,8 @@
 	observed time.Time // send time of the last beat that was learnt from
 	action   noise.Action
 	class    string // that the action is about
+	loads    []noise.Load
+	since    time.Time // send time of the first beat with loads
 	moved    time.Time
 }
 
@@ -38,22 +44,17 @@
 	if e.pol.Noise == NoiseOff {
 		return
 	}
-	if w.beat.Sent.Sub(w.noise.observed) < lateEvery {
-		e.easeClaims(w, ans)
-		return
-	}
-	w.noise.observed = w.beat.Sent
 	loads := w.loads()
+	if !slices.Equal(loads, w.noise.loads) {
+		w.noise.loads, w.noise.since = loads, w.beat.Sent
+	}
+	if w.beat.Sent.Sub(w.noise.observed) >= lateEvery {
+		w.noise.observed = w.beat.Sent
+		e.learnNoise(w, loads)
+	}
 	worst, class := noise.Leave, ""
 	for _, s := range w.beat.Services {
-		ratio, ok := e.ratio(s, len(loads) == 0)
-		if !ok {
-			continue
-		}
-		if len(loads) > 0 {
-			e.noise.ObserveMix(s.Service, loads, ratio, e.at.Now)
-		}
-		if act, c := e.act(s.Service, loads, w.noise.action, ratio); act > worst {
+		if act, c := e.act(s, loads, w.noise.action); act > worst {
 			worst, class = act, c
 		}
 	}
@@ -65,13 +66,27 @@
 	e.moveClaim(w)
 }
 
+// learnNoise learns from the service times of a VM whose batch tasks have been
+// the same for as long as the times cover.
+func (e *Entry) learnNoise(w *workerView, loads []noise.Load) {
+	if w.beat.Sent.Sub(w.noise.since) < settledMix {
+		return
+	}
+	for _, s := range w.beat.Services {
+		if ratio, ok := e.ratio(s, len(loads) == 0); ok && len(loads) > 0 {
+			e.noise.ObserveMix(s.Service, loads, ratio, e.at.Now)
+		}
+	}
+}
+
 // act decides what to do about the batch tasks beside a service. The baseline
 // that evicts on sight moves a task at every slow-down.
-func (e *Entry) act(service string, loads []noise.Load, last noise.Action, ratio float64) (noise.Action, string) {
+func (e *Entry) act(s ServiceLoad, loads []noise.Load, last noise.Action) (noise.Action, string) {
 	if e.pol.Noise != NoiseSight {
-		return e.noise.Act(service, loads, last)
+		return e.noise.Act(s.Service, loads, last)
 	}
-	if len(loads) == 0 || ratio < sightRatio {
+	ratio, ok := e.ratio(s, false)
+	if !ok || len(loads) == 0 || ratio < sightRatio {
 		return noise.Leave, ""
 	}
 	return noise.Move, loads[0].Class
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -175,19 +175,14 @@
 		return true
 	}
 	n := int64(max(len(e.live()), 1))
+	quota := unlimited(row.Quota)
 	share := Size{
-		Millicores: row.Quota.Millicores / n, MemoryMB: row.Quota.MemoryMB / n, Accelerators: row.Quota.Accelerators / n,
+		Millicores: quota.Millicores / n, MemoryMB: quota.MemoryMB / n, Accelerators: quota.Accelerators / n,
 	}
-	return e.quota.Allows(string(spec.Team), spec.Size, share.Max(e.oneTask(spec, row.Quota)))
-}
-
-// oneTask returns the task's own size where the whole quota holds it, so that
-// a share smaller than one task doesn't keep it out for ever.
-func (e *Entry) oneTask(spec *JobSpec, quota Size) Size {
-	if !spec.Size.Fits(unlimited(quota)) {
-		return Size{}
+	if spec.Size.Fits(quota) {
+		share = share.Max(spec.Size) // a share smaller than one task would keep it out for ever
 	}
-	return spec.Size
+	return e.quota.Allows(string(spec.Team), spec.Size, share)
 }
 
 // unlimited replaces the zero fields of a quota, which set no limit.
--- a/core/rows.go
+++ b/core/rows.go
@@ -50,7 +50,7 @@
 // TeamRow configures a team's quota.
 type TeamRow struct {
 	Name Team `cbor:"1,keyasint"`
-	// Quota is the most that the team's batch tasks may hold; zero fields
+	// Quota is the most that the team's tasks may hold; zero fields
 	// are unlimited.
 	Quota Size `cbor:"2,keyasint,omitempty"`
 	// Weight is the team's share of requests under overload; zero means 1.
