--- a/io/driver.go
+++ b/io/driver.go
@@ -16,6 +16,7 @@
 	carry  func(F) // must neither block nor call post
 	tick   E
 	meter  *meter
+	began  time.Time // that the reducer's clock counts from
 
 	mu     sync.Mutex
 	timer  *time.Timer
@@ -27,7 +28,7 @@
 
 func newDriver[E, F any](m *meter, tick E, reduce func(core.Stamp, E) []F, carry func(F)) *driver[E, F] {
 	return &driver[E, F]{
-		reduce: reduce, carry: carry, tick: tick, meter: m,
+		reduce: reduce, carry: carry, tick: tick, meter: m, began: time.Now(),
 		left: make(chan struct{}),
 	}
 }
@@ -50,7 +51,7 @@
 	if d.closed {
 		return
 	}
-	at := core.Stamp{Now: time.Now(), Seed: rand.Uint64()}
+	at := core.Stamp{Now: d.now(), Seed: rand.Uint64()}
 	for _, eff := range d.reduce(at, ev) {
 		switch eff := any(eff).(type) {
 		case core.Count:
@@ -67,6 +68,10 @@
 	}
 }
 
+// now returns the reducer's time. It counts from the start by the monotonic
+// clock, so that a step of the wall clock moves no lease and no deadline.
+func (d *driver[E, F]) now() time.Time { return d.began.Add(time.Since(d.began)) }
+
 // wake sets the timer anew: only the last wake counts.
 func (d *driver[E, F]) wake(now, at time.Time) {
 	d.wakeAt = at
@@ -83,7 +88,7 @@
 func (d *driver[E, F]) ring() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now := time.Now(); now.Before(d.wakeAt) {
+	if now := d.now(); now.Before(d.wakeAt) {
 		d.timer.Reset(d.wakeAt.Sub(now))
 		return
 	}
