--- a/core/agent.go
+++ b/core/agent.go
@@ -143,6 +143,9 @@
 func (a *Agent) inspectNow() {
 	a.inspecting = true
 	a.nextInspect = a.at.Now.Add(a.pol.InspectEvery)
+	if a.stopping() {
+		a.nextInspect = a.at.Now.Add(stopInspectEvery)
+	}
 	a.emit(Inspect{})
 }
 
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -40,6 +40,9 @@
 	// restopAfter is how long a stop may go without effect before it is
 	// sent again.
 	restopAfter = 2 * time.Second
+	// stopInspectEvery is the time between two looks at the worker while a
+	// stop has yet to show.
+	stopInspectEvery = 50 * time.Millisecond
 	// evictMargin is how long before a drain's deadline the last task stops.
 	evictMargin = 3 * time.Second
 	// evictSpread is the time over which a drain stops the tasks of one VM.
@@ -208,6 +211,16 @@
 	a.emit(Renew{Attempts: []Attempt{t.order.Attempt}, Deadline: t.deadline})
 }
 
+// stopping reports whether a stop has yet to show in the worker's account.
+func (a *Agent) stopping() bool {
+	for _, t := range a.held {
+		if t.stopping != "" && a.at.Now.Sub(t.stopSent) < restopAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // stopAsked stops an attempt by an entry's order.
 func (a *Agent) stopAsked(ev StopAsked) {
 	t, ok := a.held[ev.Attempt.Task]
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -69,6 +69,7 @@
 	starts int
 	delay  time.Duration // of the table's answers to transactions
 	late   []lateEvent   // in order
+	result func(core.CommandResult)
 }
 
 // lateEvent is an event that comes at a time.
@@ -110,6 +111,8 @@
 				} else {
 					evs = append(evs, ans)
 				}
+			case core.CommandReply:
+				b.result(eff.Result)
 			case core.Start:
 				b.starts++
 				evs = append(evs, core.StartAnswered{Token: eff.Token, Started: true})
--- a/core/entry.go
+++ b/core/entry.go
@@ -28,7 +28,8 @@
 	reads   *limit.Rate
 
 	workers    map[WorkerID]*workerView
-	tasks      int // that run on all workers
+	tasks      int        // that run on all workers
+	sorted     []WorkerID // the keys of workers, in order
 	index      place.Index
 	fences     map[WorkerID]fenceView
 	nextSus    time.Time // when silent workers are looked at again
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -156,13 +156,17 @@
 	e.queue.blocked = false
 }
 
+// workerIDs returns the workers in order. The slice is valid until the next
+// call of worker.
 func (e *Entry) workerIDs() []WorkerID {
-	ids := make([]WorkerID, 0, len(e.workers))
-	for id := range e.workers {
-		ids = append(ids, id)
+	if len(e.sorted) != len(e.workers) {
+		e.sorted = e.sorted[:0]
+		for id := range e.workers {
+			e.sorted = append(e.sorted, id)
+		}
+		slices.Sort(e.sorted)
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
+	return e.sorted
 }
 
 // policyChanged takes over the numbers that operators have set.
--- a/core/scene_test.go
+++ b/core/scene_test.go
@@ -19,7 +19,7 @@
 
 // scenes are the meetings of events that protections are meant for. Drawn one
 // by one their parts would seldom meet.
-var scenes = []func(t *rapid.T) []fake.Action{lateStart, lostVM, lateClaim, doubledStart, doubledCall, outage}
+var scenes = []func(t *rapid.T) []fake.Action{lateStart, lateOrder, lostVM, lateClaim, doubledStart, doubledCall, outage}
 
 func seconds(t *rapid.T, name string, lo, hi int) time.Duration {
 	return time.Duration(rapid.IntRange(lo*10, hi*10).Draw(t, name)) * time.Second / 10
@@ -53,6 +53,22 @@
 	return as
 }
 
+// lateOrder pauses an entry between its claims and its orders, while the
+// workers that it chose are restarted.
+func lateOrder(t *rapid.T) []fake.Action {
+	late, vm := n(t, "late", 2), n(t, "vm", 5)
+	d := seconds(t, "for", 1, 2)
+	as := []fake.Action{
+		fake.PauseEntry{Entry: late, On: "Start", For: d},
+		spread(t), spread(t),
+		fake.Wait{For: milliseconds(t, "wait", 50)},
+	}
+	for i := range 3 {
+		as = append(as, fake.KillVM{VM: vm + i, For: milliseconds(t, "off", 50)})
+	}
+	return append(as, fake.Wait{For: d + time.Second})
+}
+
 // lostVM cuts a VM off while it runs tasks.
 func lostVM(t *rapid.T) []fake.Action {
 	return []fake.Action{
--- a/core/slope_test.go
+++ b/core/slope_test.go
@@ -15,18 +15,21 @@
 const tableTime = 5 * time.Millisecond
 
 // BenchmarkTicks gives an entry's time for half a second of ticks and reads,
-// without and with a change of configuration in it.
+// without a change of configuration, and with one of a team or a service.
 func BenchmarkTicks(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000, 29000} {
-		for _, change := range []bool{false, true} {
-			b.Run(fmt.Sprintf("workers=%d/change=%t", n, change), func(b *testing.B) {
+		for _, change := range []string{"none", "team", "service"} {
+			b.Run(fmt.Sprintf("workers=%d/change=%s", n, change), func(b *testing.B) {
 				x := newBench(b)
 				beats := x.putWorkers(n, tasksPerWorker)
 				for b.Loop() {
 					b.StopTimer()
 					x.beat(beats)
-					if change {
+					switch change {
+					case "team":
 						x.putTeam(0, x.table.rev)
+					case "service":
+						x.putService(time.Duration(x.table.rev) * time.Millisecond)
 					}
 					b.StartTimer()
 					x.run(500 * time.Millisecond)
@@ -36,6 +39,38 @@
 	}
 }
 
+// BenchmarkShow gives an entry's time for a query without a filter, and the
+// size of its answer.
+func BenchmarkShow(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		for _, kind := range []string{"workers", "tasks"} {
+			b.Run(fmt.Sprintf("%s=%d", kind, n), func(b *testing.B) {
+				x := newBench(b)
+				if kind == "workers" {
+					x.putWorkers(n, 0)
+				} else {
+					x.putJobs(n, 20, 100)
+					x.run(3 * time.Second)
+				}
+				bytes := 0
+				x.result = func(r core.CommandResult) { bytes = proto.Size(codec.ResultToWire(r)) }
+				for b.Loop() {
+					x.reduce(core.CommandAsked{Token: 1, ID: "show", Command: core.Show{Kind: kind}})
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/row")
+				b.ReportMetric(float64(bytes)/float64(n), "B/row")
+			})
+		}
+	}
+}
+
+// putService changes a service and thereby the configuration.
+func (b *bench) putService(timeout time.Duration) {
+	b.table.put(b.tb, core.PrefixConfig+"service/lookup",
+		core.ServiceRow{Name: "lookup", Idempotent: true, Timeout: time.Second + timeout})
+	b.table.put(b.tb, core.KeyVersion, core.VersionRow{N: b.table.rev})
+}
+
 // putTeam changes one team and thereby the configuration.
 func (b *bench) putTeam(n int, quota uint64) {
 	name := core.Team(fmt.Sprintf("team%03d", n))
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -58,6 +58,12 @@
 	}
 }
 
+// What an agent may take for control.
+const (
+	maxMemory = 128 << 20 // bytes resident
+	maxBytes  = 19_000.0  // a second
+)
+
 // BenchmarkAgent gives what an agent process costs with its 8 slots busy and 8
 // tasks running, and the bytes between it and the entries, requests left out.
 func BenchmarkAgent(b *testing.B) {
@@ -82,6 +88,8 @@
 				time.Sleep(measured)
 			}
 			after := costOf(b, pid)
+			assert.Assert(b, after.memory < maxMemory, "%d bytes resident", after.memory)
+			assert.Assert(b, float64(bytes.Load()-sent) < maxBytes*b.Elapsed().Seconds())
 			b.ReportMetric(100*(after.cpu-before.cpu).Seconds()/b.Elapsed().Seconds(), "%core")
 			b.ReportMetric(float64(after.memory)/(1<<20), "MB")
 			b.ReportMetric(float64(bytes.Load()-sent)/b.Elapsed().Seconds(), "B/s")
--- a/io/path_test.go
+++ b/io/path_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -237,30 +238,43 @@
 }
 
 // BenchmarkRequest compares a request through entry and agent with a call
-// straight to the worker, one at a time.
+// straight to the worker, one at a time. It reports the quantiles of latency.
 func BenchmarkRequest(b *testing.B) {
 	p := newPath(b, stand.WithService("echo", stand.Service{}))
 	direct := func(h *http.Client) func(*testing.B) {
 		return func(b *testing.B) {
 			c := wire.NewWorkerServiceClient(h, "http://"+p.vm.String(),
 				connect.WithAcceptCompression("gzip", nil, nil))
-			for b.Loop() {
+			latencies(b, func() {
 				res, err := c.Call(b.Context(), connect.NewRequest(&wire.CallRequest{Id: "r", Service: "echo", Body: []byte("whole")}))
 				assert.NilError(b, err)
 				assert.Assert(b, res.Msg.GetOk())
-			}
+			})
 		}
 	}
 	b.Run("direct/http1", direct(&http.Client{Transport: &http.Transport{}}))
 	b.Run("direct/http2", direct(h2Client()))
 	b.Run("path", func(b *testing.B) {
-		for b.Loop() {
+		latencies(b, func() {
 			status, _ := p.post(b, "whole")
 			assert.Equal(b, status, http.StatusOK)
-		}
+		})
 	})
 }
 
+// latencies runs f and reports the quantiles of its time in microseconds.
+func latencies(b *testing.B, f func()) {
+	var took []time.Duration
+	for b.Loop() {
+		began := time.Now()
+		f()
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+}
+
 func h2Client() *http.Client {
 	var ps http.Protocols
 	ps.SetUnencryptedHTTP2(true)
--- a/procs/entry_test.go
+++ b/procs/entry_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"jayloft/stand"
 )
 
 // TestKillEntryInSubmissions kills an entry while jobs are submitted to it.
@@ -93,3 +96,47 @@
 	}
 	return res.GetVersion()
 }
+
+// TestPauseEntry stops an entry's process in the middle of submissions for
+// longer than the others take it for alive, takes a data centre out meanwhile,
+// and lets it go on. Its stale view must start nothing there, and double
+// nothing.
+func TestPauseEntry(t *testing.T) {
+	s := newSite(t, shape{workers: 4, entries: 2})
+	const jobs = 30
+	accepted := make([]bool, jobs)
+	var wg sync.WaitGroup
+	for i := range jobs {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			r, err := s.entries[0].submit(fmt.Sprintf("p%d", i), "500ms")
+			accepted[i] = err == nil && r.status == http.StatusAccepted
+		})
+	}
+	time.Sleep(jobs * 10 * time.Millisecond)
+	s.entries[0].signal(syscall.SIGSTOP)
+	res, err := s.entries[1].do("", "drain dc dc1 by 1s")
+	assert.NilError(t, err)
+	assert.Equal(t, res.GetOutcome(), "done", res.GetText())
+	out := time.Now()
+	time.Sleep(8 * time.Second)
+	s.entries[0].signal(syscall.SIGCONT)
+	wg.Wait()
+	for i := range jobs {
+		id := fmt.Sprintf("p%d", i)
+		if !accepted[i] {
+			eventually(t, id+" is submitted again", func() bool {
+				r, err := s.entries[1].submit(id, "500ms")
+				return err == nil && r.status == http.StatusAccepted
+			})
+		}
+		for _, e := range s.entries {
+			eventually(t, id+" is done at "+e.name, func() bool { return e.finished(id, 1) })
+		}
+		s.endedOnce(id, 1)
+	}
+	late := count(s.ran(), stand.KindLaunch, func(e stand.Entry) bool {
+		return s.inDC(e, "dc1") && e.At.After(out.Add(startsStop))
+	})
+	assert.Equal(t, late, 0)
+}
--- a/sweep/cases.go
+++ b/sweep/cases.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	"jayloft/core"
@@ -31,10 +30,14 @@
 	return Variant{fmt.Sprintf("lease=%v", d), func(p *core.Policy) { p.Lease = d }}
 }
 
-func (v Variant) sim(site Site, seed uint64) *Sim {
+func (v Variant) policy() core.Policy {
 	p := core.DefaultPolicy()
 	v.Change(&p)
-	return New(site, seed, core.WithPolicy(p))
+	return p
+}
+
+func (v Variant) sim(site Site, seed uint64) *Sim {
+	return New(site, seed, core.WithPolicy(v.policy()))
 }
 
 // warm is the time after which a deployment is in its usual state.
@@ -69,6 +72,7 @@
 func (f *Figures) always(s *Sim) {
 	f.add("overlaps", float64(len(s.Overlaps())))
 	f.add("over", float64(s.Over()))
+	f.add("retries", s.Requests(0, s.now).Retries)
 }
 
 // ratio returns a over b, or 0 if b is none.
@@ -92,13 +96,13 @@
 	f.ms("added p50 ms", r.P50-r.DirectP50)
 	f.ms("added p99 ms", r.P99-r.DirectP99)
 	f.add("success", r.Success())
-	f.add("retries", r.Retries)
+	f.always(s)
 	return f
 }
 
 // Overload measures twice the load that the slots can run.
 func Overload(site Site, v Variant, seed uint64) Figures {
-	const end = 15 * time.Second
+	const end = 10 * time.Second
 	s := v.sim(site, seed)
 	s.Ask(warm/2, end, site.Rate()*2)
 	s.Run(end + site.Timeout)
@@ -109,7 +113,7 @@
 	f.ms("p50 ms", r.P50)
 	f.ms("refusal p99 ms", r.RefusalP99)
 	f.add("unknown", float64(r.Unknown)/float64(r.Sent))
-	f.add("retries", r.Retries)
+	f.always(s)
 	return f
 }
 
@@ -118,7 +122,7 @@
 
 // SlowWorker measures half load while one worker is ten times slower.
 func SlowWorker(site Site, v Variant, seed uint64) Figures {
-	const from, end = 15 * time.Second, 25 * time.Second
+	const from, end = 10 * time.Second, 20 * time.Second
 	s := v.sim(site, seed)
 	s.Ask(warm/2, end, site.Rate()/2)
 	s.Slow(from, ill, 10)
@@ -131,23 +135,29 @@
 	f.add("p99/steady later", ratio(s.Requests(from+3*time.Second, end).P99, before.P99))
 	f.add("share later", s.Share(ill, from+3*time.Second, end))
 	f.add("success", after.Success())
-	f.add("retries", after.Retries)
+	f.always(s)
 	return f
 }
 
 // FailingWorker measures half load while one worker fails everything.
 func FailingWorker(site Site, v Variant, seed uint64) Figures {
-	const from, end = 10 * time.Second, 25 * time.Second
+	const from, end = 10 * time.Second, 20 * time.Second
 	s := v.sim(site, seed)
 	s.Ask(warm/2, end, site.Rate()/2)
+	size := taskOf(site, 8)
+	tasks := site.room(size)
+	s.Submit(from-time.Second, Job{ID: "batch", Tasks: tasks, Size: size, Work: 3 * time.Second})
+	s.Submit(from+time.Second, Job{ID: "later", Tasks: tasks, Size: size, Work: 3 * time.Second})
 	s.Fail(from, ill, true)
 	s.Run(end + site.Timeout)
 	var f Figures
 	r := s.Requests(from, end)
 	f.add("success", r.Success())
 	f.add("share after 5 s", s.Share(ill, from+5*time.Second, end))
-	f.add("retries", r.Retries)
 	f.ms("p99 ms", r.P99)
+	f.add("tasks undone", float64(2*tasks-s.Batch(0, end).Done))
+	f.add("tasks failed", float64(s.Count("end "+string(core.EndFailed))))
+	f.always(s)
 	return f
 }
 
@@ -161,39 +171,40 @@
 	return s.Workers() * int((s.Capacity.Millicores-s.Reserved.Millicores)/size.Millicores)
 }
 
-// Noisy measures requests beside waves of tasks that disturb them. Without a
-// wave it measures the same without batch tasks.
-func Noisy(site Site, v Variant, seed uint64, waves bool) Figures {
-	const from, end, every = 10 * time.Second, 130 * time.Second, 20 * time.Second
-	s := v.sim(site, seed)
-	s.Ask(warm/2, end, site.Rate()/6)
-	size := taskOf(site, 8)
-	if waves {
-		for i, at := 0, from; at < end; i, at = i+1, at+every {
-			s.Submit(at, Job{ID: core.JobID(fmt.Sprint("wave", i)), Tasks: site.room(size) * 2 / 3, Class: site.Class, Size: size, Work: 10 * time.Second})
-		}
-	}
-	s.Run(end + 10*time.Second)
-	if os.Getenv("TRACE") != "" {
-		for at := from; at < end; at += 2 * time.Second {
-			r, b := s.Requests(at, at+2*time.Second), s.Batch(at, at+2*time.Second)
-			fmt.Printf("%v p50 %.1f p99 %.1f work/s %.1f launches %d evicted %d done %d\n", at, r.P50.Seconds()*1e3, r.P99.Seconds()*1e3, b.Work.Seconds()/2, b.Launches, b.Evictions, b.Done)
-		}
-		fmt.Println(s.tally.counts)
-	}
-	var f Figures
+// Noisy measures requests beside waves of tasks that disturb them, against the
+// same without batch tasks and against two baselines.
+func Noisy(site Site, v Variant, seed uint64) Figures {
+	const from, end = 10 * time.Second, 130 * time.Second
+	run := func(v Variant, waves int) *Sim { return v.waves(site, seed, from, end, waves) }
+	s := run(v, 6)
 	r, b := s.Requests(from, end), s.Batch(from, end)
+	var f Figures
 	f.ms("p50 ms", r.P50)
 	f.ms("p99 ms", r.P99)
-	f.seconds("work s", b.Work)
-	f.seconds("lost s", b.Lost)
+	f.add("p99/quiet", ratio(r.P99, run(v, 0).Requests(from, end).P99))
+	f.add("work/uncontrolled", ratio(b.Work, run(NoiseOff, 6).Batch(from, end).Work))
 	f.add("evictions", float64(b.Evictions))
-	f.add("eased", float64(s.Count("noise throttle")))
-	f.add("retries", r.Retries)
+	f.add("evictions/sight", float64(b.Evictions)/float64(max(run(NoiseSight, 6).Batch(from, end).Evictions, 1)))
+	f.seconds("lost s", b.Lost)
 	f.always(s)
 	return f
 }
 
+// waves runs waves of tasks that disturb the service, twenty seconds apart.
+func (v Variant) waves(site Site, seed uint64, from, end time.Duration, waves int) *Sim {
+	s := v.sim(site, seed)
+	s.Ask(warm/2, end, site.Rate()/10)
+	size := taskOf(site, 8)
+	for i := range waves {
+		s.Submit(from+time.Duration(i)*20*time.Second, Job{
+			ID: core.JobID(fmt.Sprint("wave", i)), Tasks: site.room(size) * 2 / 3,
+			Class: site.Class, Size: size, Work: 10 * time.Second,
+		})
+	}
+	s.Run(end + site.Timeout)
+	return s
+}
+
 // Urgent measures how soon urgent tasks start on a full site.
 func Urgent(site Site, v Variant, seed uint64) Figures {
 	const from, end, every = 15 * time.Second, 65 * time.Second, 500 * time.Millisecond
@@ -222,6 +233,16 @@
 	return f
 }
 
+// fill submits jobs whose tasks take from 15 to 90 seconds.
+func (s *Sim) fill(jobs, tasks int, size core.Size) {
+	for i := range jobs {
+		s.Submit(warm/2, Job{
+			ID: core.JobID(fmt.Sprint("fill", i)), Tasks: tasks, Size: size,
+			Work: 15*time.Second + time.Duration(i*7%jobs)*75*time.Second/time.Duration(jobs),
+		})
+	}
+}
+
 // Out measures a data centre that is drained, given a minute, out for two and
 // back, while batch tasks fill the site.
 func Out(site Site, v Variant, seed uint64) Figures {
@@ -235,12 +256,10 @@
 	s.Ask(warm/2, end, 50)
 	size := taskOf(site, 8)
 	per := site.room(size)
-	for i := range 12 {
-		s.Submit(warm/2, Job{ID: core.JobID(fmt.Sprint("fill", i)), Tasks: per, Size: size, Work: 25 * time.Second})
-	}
+	s.fill(12, per, size)
 	s.Drain(from, dc, by)
 	s.Return(back, dc)
-	s.Run(end)
+	s.Run(end + site.Timeout)
 	left := float64(site.Workers()-site.DCs[dc]) / float64(site.Workers())
 	work := func(from, to time.Duration) float64 {
 		return s.Batch(from, to).Work.Seconds() / (to - from).Seconds()
@@ -270,11 +289,11 @@
 	s := v.sim(site, seed)
 	s.Ask(warm/2, end, 100)
 	size := taskOf(site, 8)
-	for i := range 8 {
-		s.Submit(warm/2, Job{ID: core.JobID(fmt.Sprint("fill", i)), Tasks: site.room(size), Size: size, Work: 60 * time.Second})
+	for i := range 2 {
+		s.Submit(warm/2, Job{ID: core.JobID(fmt.Sprint("fill", i)), Tasks: site.room(size), Size: size, Work: 220 * time.Second})
 	}
 	s.Down(from, to)
-	s.Run(end)
+	s.Run(end + site.Timeout)
 	work := func(from, to time.Duration) float64 {
 		return s.Batch(from, to).Work.Seconds() / (to - from).Seconds()
 	}
@@ -292,6 +311,17 @@
 	return f
 }
 
+// busiest returns the VM that runs the most tasks.
+func (s *Sim) busiest() int {
+	best, most := 0, -1
+	for i, v := range s.vms {
+		if n := len(v.model.Inspect(s.time()).Tasks); n > most {
+			best, most = i, n
+		}
+	}
+	return best
+}
+
 // Killed measures how soon the tasks of a VM that died run elsewhere.
 func Killed(site Site, v Variant, seed uint64) Figures {
 	const from = 47 * time.Second
@@ -300,11 +330,16 @@
 	s.Ask(warm/2, end, 100)
 	size := taskOf(site, 8)
 	s.Submit(warm/2, Job{ID: "fill", Tasks: site.room(size) / 2, Size: size, Work: 150 * time.Second})
-	s.Kill(from, ill, 0)
-	s.Run(end)
-	last, tasks := s.Resume(ill, from)
+	died := 0
+	s.at(from, func() {
+		died = s.busiest()
+		s.vms[died].kill()
+	})
+	s.Run(end + site.Timeout)
+	last, tasks := s.Resume(died, from)
 	var f Figures
 	f.seconds("resume s", last)
+	f.add("resume/(lease+5 s)", ratio(last, v.policy().Lease+5*time.Second))
 	f.add("tasks", float64(tasks))
 	f.seconds("lost s", s.Batch(0, end).Lost)
 	r := s.Requests(from, from+10*time.Second)
