core: names that a newcomer expects

Cause: a reading of core as a newcomer found metaphors in names. Change: graves, bury, recognize, guest and the like became tombstones, addTombstone, assignShards, foreign.

--- a/core/agent.go
+++ b/core/agent.go
@@ -23,9 +23,9 @@
 	services []string
 	used     Size
 
-	held   map[TaskID]*heldTask
-	ends   map[Attempt]End
-	graves map[Attempt]time.Time // attempts that never start, until then
+	held       map[TaskID]*heldTask
+	ends       map[Attempt]End
+	tombstones map[Attempt]time.Time // attempts that never start, until then
 
 	echo   time.Time // newest, on this VM's clock
 	began  time.Time // when this process began
@@ -57,14 +57,14 @@
 // NewAgent returns the reducer of one life of an agent process.
 func NewAgent(site AgentSite, opts ...Option) *Agent {
 	a := &Agent{
-		site:   site,
-		pol:    newPolicy(opts),
-		held:   map[TaskID]*heldTask{},
-		ends:   map[Attempt]End{},
-		graves: map[Attempt]time.Time{},
-		growth: map[string]growth{},
-		gone:   map[Incarnation]bool{},
-		peers:  map[netip.AddrPort]*beatPeer{},
+		site:       site,
+		pol:        newPolicy(opts),
+		held:       map[TaskID]*heldTask{},
+		ends:       map[Attempt]End{},
+		tombstones: map[Attempt]time.Time{},
+		growth:     map[string]growth{},
+		gone:       map[Incarnation]bool{},
+		peers:      map[netip.AddrPort]*beatPeer{},
 	}
 	for _, addr := range site.Entries {
 		a.peers[addr] = &beatPeer{}
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -10,23 +10,23 @@
 		a.emit(StartReply{Token: ev.Token, Started: true})
 		return
 	}
-	a.bury(ev.Order.Attempt)
+	a.addTombstone(ev.Order.Attempt)
 	a.count("start", r)
 	a.emit(StartReply{Token: ev.Token, Reason: r})
 }
 
-// bury makes sure that an attempt never starts here. Orders still on their way
+// addTombstone makes sure that an attempt never starts here. Orders still on their way
 // can't be fresher than now, so the permit bounds how long this matters.
-func (a *Agent) bury(t Attempt) {
+func (a *Agent) addTombstone(t Attempt) {
 	if !a.pol.on(guardTombstone) {
 		return
 	}
-	for k, until := range a.graves {
+	for k, until := range a.tombstones {
 		if until.Before(a.at.Now) {
-			delete(a.graves, k)
+			delete(a.tombstones, k)
 		}
 	}
-	a.graves[t] = a.at.Now.Add(a.pol.Permit + time.Second)
+	a.tombstones[t] = a.at.Now.Add(a.pol.Permit + time.Second)
 }
 
 // admit takes an order in, or says why not.
@@ -71,7 +71,7 @@
 	if a.pol.on(guardIncarnation) && (o.Holder.Worker != a.site.Worker || o.Holder.Inc != a.inc) {
 		return ReasonIncarnation
 	}
-	if _, ok := a.graves[o.Attempt]; ok {
+	if _, ok := a.tombstones[o.Attempt]; ok {
 		return ReasonTombstone
 	}
 	if out, _ := a.dcOut(); out || a.leaving || a.fenced {
@@ -104,6 +104,6 @@
 	if _, ok := a.ends[ev.Attempt]; ok {
 		return SettleEnded
 	}
-	a.bury(ev.Attempt)
+	a.addTombstone(ev.Attempt)
 	return SettleNever
 }
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -210,7 +210,7 @@
 		return
 	}
 	delete(a.ends, t)
-	a.graves[t] = a.at.Now.Add(a.pol.Permit + time.Second)
+	a.tombstones[t] = a.at.Now.Add(a.pol.Permit + time.Second)
 	a.emit(Control{Attempt: t, Verb: VerbForget})
 }
 
--- a/core/agentmatch.go
+++ b/core/agentmatch.go
@@ -73,7 +73,7 @@
 // knows reports whether an ended attempt was reported and recorded by this
 // life of the agent.
 func (a *Agent) knows(t Attempt) bool {
-	_, ok := a.graves[t]
+	_, ok := a.tombstones[t]
 	return ok
 }
 
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -233,7 +233,7 @@
 // stop ends a task early. A task that was never launched ends at once.
 func (a *Agent) stop(t *heldTask, kind EndKind, reason string) {
 	if !t.launched {
-		a.bury(t.order.Attempt)
+		a.addTombstone(t.order.Attempt)
 		a.ended(t, End{Attempt: t.order.Attempt, Kind: kind, Reason: reason})
 		return
 	}
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -56,7 +56,7 @@
 	b := ev.Beat
 	w := e.worker(b.Worker)
 	for _, inc := range b.Gone {
-		e.vouched(w, inc)
+		e.confirmDead(w, inc)
 	}
 	ans := BeatAnswer{Config: e.config.rev, Entries: e.livePeers()}
 	e.configRows(&ans, b.Config)
@@ -73,7 +73,7 @@
 		e.takeBeat(w, b, &ans)
 		ans.Echo = w.echo
 		ans.Checkpoint = e.checkpointEvery()
-		ans.Prior = w.unvouched()
+		ans.Prior = w.unconfirmed()
 	}
 	e.emit(BeatReply{Token: ev.Token, Answer: ans})
 }
@@ -90,23 +90,23 @@
 	return w.inc == b.Inc
 }
 
-// vouched learns from a worker's own agent that an incarnation is dead. What
+// confirmDead learns from a worker's own agent that an incarnation is dead. What
 // it held can't run any more, so its claims move at once.
-func (e *Entry) vouched(w *workerView, inc Incarnation) {
+func (e *Entry) confirmDead(w *workerView, inc Incarnation) {
 	if w.past[inc] {
 		return
 	}
 	w.past[inc] = true
 	for _, c := range w.claimList() {
 		if c.holder.Inc == inc {
-			e.lose(c, "its VM was restarted or replaced")
+			e.releaseLost(c, "its VM was restarted or replaced")
 		}
 	}
 }
 
-// unvouched returns an incarnation that claims still name, and that is neither
+// unconfirmed returns an incarnation that claims still name, and that is neither
 // in use nor known to be dead.
-func (w *workerView) unvouched() Incarnation {
+func (w *workerView) unconfirmed() Incarnation {
 	var prior Incarnation
 	for _, c := range w.claims {
 		inc := c.holder.Inc
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -43,14 +43,14 @@
 	case ev.Fault == FaultCut:
 		e.count("start.lost", ReasonCut)
 	case ev.Fault == FaultNotSent:
-		e.never(j, c, ReasonCut)
+		e.releaseUnstarted(j, c, ReasonCut)
 	case !ev.Started:
-		e.never(j, c, ev.Reason)
+		e.releaseUnstarted(j, c, ev.Reason)
 	}
 }
 
-// never releases a claim whose attempt was surely not started.
-func (e *Entry) never(j *jobView, c *claim, r Reason) {
+// releaseUnstarted releases a claim whose attempt was surely not started.
+func (e *Entry) releaseUnstarted(j *jobView, c *claim, r Reason) {
 	if c.losing {
 		return
 	}
@@ -115,10 +115,10 @@
 		return
 	}
 	if c.listed {
-		e.lose(c, "its agent no longer knows of it")
+		e.releaseLost(c, "its agent no longer knows of it")
 		return
 	}
-	e.never(j, c, ReasonCut)
+	e.releaseUnstarted(j, c, ReasonCut)
 }
 
 // ended counts how attempts end at a worker.
--- a/core/entryfence.go
+++ b/core/entryfence.go
@@ -108,7 +108,7 @@
 	for _, c := range w.claimList() {
 		known, ok := f.known[c.holder.Inc]
 		if ok && f.row.Has(c.holder.Inc) && e.at.Now.Sub(known) > wait {
-			e.lose(c, "its VM went silent and was fenced")
+			e.releaseLost(c, "its VM went silent and was fenced")
 		}
 	}
 }
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -145,7 +145,7 @@
 		}
 	}
 	if len(j.flying) == 0 {
-		e.leaveGuest(j)
+		e.dropForeign(j)
 		return
 	}
 	row.Ended = e.endedAt(row)
@@ -236,7 +236,7 @@
 		for _, ed := range edits {
 			e.settled(j, ed)
 		}
-		e.leaveGuest(j)
+		e.dropForeign(j)
 	}
 }
 
@@ -269,7 +269,7 @@
 func (e *Entry) settled(j *jobView, ed edit) {
 	n := ed.task()
 	e.reconcile(j, n)
-	if j.guest {
+	if j.foreign {
 		return
 	}
 	switch ed := ed.(type) {
@@ -284,15 +284,15 @@
 func (e *Entry) voided(j *jobView, ed edit) {
 	if c, ok := ed.(claimEdit); ok {
 		if cl := j.claims[c.n]; cl != nil && cl.attempt.Number == c.number && !cl.committed {
-			e.unclaim(j, cl)
+			e.dropClaim(j, cl)
 		}
 	}
 	e.reconcile(j, ed.task())
 }
 
-// leaveGuest forgets another entry's job once its edits are written.
-func (e *Entry) leaveGuest(j *jobView) {
-	if j.guest && len(j.edits) == 0 && len(j.flying) == 0 {
+// dropForeign forgets another entry's job once its edits are written.
+func (e *Entry) dropForeign(j *jobView) {
+	if j.foreign && len(j.edits) == 0 && len(j.flying) == 0 {
 		delete(e.jobs, j.row.Spec.ID)
 	}
 }
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -11,7 +11,7 @@
 	row     JobRow
 	version uint64
 	shard   int
-	guest   bool // of a shard that another entry owns; kept for one edit
+	foreign bool // of a shard that another entry owns; kept for one edit
 
 	edits  []edit // to be written
 	flying []edit // in the transaction that is in flight
@@ -71,12 +71,12 @@
 	if j == nil {
 		shard := ShardOf(id)
 		j = &jobView{
-			shard: shard, guest: !e.shards[shard].owned,
+			shard: shard, foreign: !e.shards[shard].owned,
 			claims: map[int]*claim{}, avoid: map[WorkerID]time.Time{}, waits: map[int]Reason{},
 		}
 		e.jobs[id] = j
 	}
-	j.guest = !e.shards[j.shard].owned
+	j.foreign = !e.shards[j.shard].owned
 	j.row, j.version = row, r.Version
 	for n := range row.Tasks {
 		e.reconcile(j, n)
@@ -88,13 +88,13 @@
 	for n := range j.row.Tasks {
 		e.queue.remove(TaskID{Job: id, N: n})
 		if c := j.claims[n]; c != nil {
-			e.unclaim(j, c)
+			e.dropClaim(j, c)
 		}
 	}
 	if len(j.flying) == 0 && len(j.edits) == 0 {
 		delete(e.jobs, id)
 	} else {
-		j.guest = true
+		j.foreign = true
 	}
 }
 
@@ -102,7 +102,7 @@
 func (e *Entry) reconcile(j *jobView, n int) {
 	t := &j.row.Tasks[n]
 	id := TaskID{Job: j.row.Spec.ID, N: n}
-	if j.guest {
+	if j.foreign {
 		return
 	}
 	if t.State == TaskClaimed {
@@ -111,7 +111,7 @@
 		return
 	}
 	if c := j.claims[n]; c != nil && c.attempt.Number <= t.Attempt {
-		e.unclaim(j, c)
+		e.dropClaim(j, c)
 	}
 	if t.State != TaskWaiting {
 		e.queue.remove(id)
@@ -147,14 +147,14 @@
 	c := j.claims[n]
 	if c == nil || c.attempt.Number != t.Attempt || c.holder != t.Holder {
 		if c != nil {
-			e.unclaim(j, c)
+			e.dropClaim(j, c)
 		}
 		c = j.newClaim(n, t.Attempt, t.Holder, e.at.Now)
 		e.claim(j, c)
 	}
 	c.committed = true
 	if e.worker(t.Holder.Worker).past[t.Holder.Inc] {
-		e.lose(c, "its VM was restarted or replaced")
+		e.releaseLost(c, "its VM was restarted or replaced")
 	}
 }
 
@@ -162,7 +162,7 @@
 func (e *Entry) claim(j *jobView, c *claim) {
 	w := e.worker(c.holder.Worker)
 	if old := w.claims[c.attempt.Task]; old != nil {
-		e.unclaim(j, old)
+		e.dropClaim(j, old)
 	}
 	w.claims[c.attempt.Task] = c
 	j.claims[c.attempt.Task.N] = c
@@ -171,8 +171,8 @@
 	e.indexWorker(w)
 }
 
-// unclaim forgets a claim and gives its room back.
-func (e *Entry) unclaim(j *jobView, c *claim) {
+// dropClaim forgets a claim and gives its room back.
+func (e *Entry) dropClaim(j *jobView, c *claim) {
 	w := e.worker(c.holder.Worker)
 	delete(w.claims, c.attempt.Task)
 	delete(j.claims, c.attempt.Task.N)
@@ -189,8 +189,8 @@
 	}
 }
 
-// lose releases a claim whose task can't be running any more.
-func (e *Entry) lose(c *claim, why string) {
+// releaseLost releases a claim whose task can't be running any more.
+func (e *Entry) releaseLost(c *claim, why string) {
 	j := e.jobs[c.attempt.Task.Job]
 	if j == nil || c.losing || !c.committed {
 		return
@@ -228,7 +228,7 @@
 func (e *Entry) endHeard(w *workerView, end End, ans *BeatAnswer) {
 	t := end.Attempt
 	j := e.jobs[t.Task.Job]
-	if j == nil || j.guest || t.Task.N >= len(j.row.Tasks) {
+	if j == nil || j.foreign || t.Task.N >= len(j.row.Tasks) {
 		e.orphanHeard(w, end, ans)
 		return
 	}
@@ -304,7 +304,7 @@
 	if !o.over && row.Attempt == t.Number {
 		e.edit(j, endEdit{end: q.end, worker: q.w.id})
 	}
-	e.leaveGuest(j)
+	e.dropForeign(j)
 }
 
 // rowsAnswered takes single rows that were read.
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -141,10 +141,10 @@
 	return addrs
 }
 
-// recognize settles which shards this entry owns, by rendezvous hashing: the
+// assignShards settles which shards this entry owns, by rendezvous hashing: the
 // live entry with the highest hash of its id and the shard. A stale view only
 // costs lost conditional writes.
-func (e *Entry) recognize() {
+func (e *Entry) assignShards() {
 	live := e.live()
 	n := float64(max(len(live), 1))
 	e.writes.Set(e.at.Now, e.pol.WritesPerSecond/n)
@@ -182,7 +182,7 @@
 func (e *Entry) adoptShard(s int) {
 	for _, id := range e.jobIDs(s) {
 		j := e.jobs[id]
-		j.guest = false
+		j.foreign = false
 		for n := range j.row.Tasks {
 			e.reconcile(j, n)
 		}
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -86,7 +86,7 @@
 	}
 	first := !e.ready()
 	e.round.done, e.round.doneAt = e.round.begun, e.round.started
-	e.recognize()
+	e.assignShards()
 	if first {
 		e.note("ready", string(e.site.ID), fmt.Sprintf("configuration %d", e.config.n))
 	}
--- a/sweep/measure.go
+++ b/sweep/measure.go
@@ -136,9 +136,8 @@
 		}
 	}
 	for _, r := range a.runs {
-		if r.open { // at full speed as far as is known
+		if r.open {
 			r.to = now
-			r.after = r.before + now - r.from
 		}
 		begin, end := max(r.from, from), min(r.to, to)
 		if end > begin && r.to > r.from {
--- a/sweep/objects.go
+++ b/sweep/objects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jayloft/core"
 	"jayloft/stand"
 )
 
@@ -30,6 +31,19 @@
 	}
 }
 
+// look records how far the running tasks have come. The journal tells that of
+// stopped ones alone.
+func (v *vm) look() {
+	v.transfer()
+	now := v.sim.time()
+	for _, t := range v.model.Inspect(now).Tasks {
+		v.model.Control(now, core.Control{Attempt: t.Attempt, Verb: core.VerbCheckpoint})
+	}
+	for _, c := range v.model.Saves() {
+		v.sim.tally.seen(c)
+	}
+}
+
 func (v *vm) load(l stand.Load, life int) {
 	s := v.sim
 	s.after(objectTime, func() {
--- a/sweep/sweep.go
+++ b/sweep/sweep.go
@@ -102,10 +102,10 @@
 		do()
 	}
 	s.now = max(s.now, d)
+	s.tally.read(s.journal)
 	for _, v := range s.vms {
-		v.model.Advance(s.time())
+		v.look()
 	}
-	s.tally.read(s.journal)
 }
 
 // Count returns how often the reducers raised a counter, named by name and
--- a/sweep/tally.go
+++ b/sweep/tally.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// seen records the progress of an attempt that runs on.
+func (t *tally) seen(c stand.Checkpoint) {
+	if a := t.attempts[c.Attempt.String()]; a != nil && len(a.runs) > 0 {
+		a.runs[len(a.runs)-1].after = c.Done
+	}
+}
+
 func (t *tally) noted(now time.Duration, n core.Note) {
 	t.notes = append(t.notes, now.String()+" "+n.Text+" "+n.Subject+" "+n.Detail)
 }
