core: the reason of an eviction outlives the next claim

Cause: a claim cleared the reason of the task's last end, so why could not tell why a running task had been evicted. Ruled out: the agent's report, which carries it. Change: the reason stays until the next end. Before: TestWhyEvicted fails; after: green.

--- a/core/edit.go
+++ b/core/edit.go
@@ -58,7 +58,7 @@
 	if t.State != TaskWaiting || r.Cancel || t.Attempt+1 != ed.number {
 		return editVoid
 	}
-	t.State, t.Attempt, t.Holder, t.By, t.Reason = TaskClaimed, ed.number, ed.holder, ed.by, ""
+	t.State, t.Attempt, t.Holder, t.By = TaskClaimed, ed.number, ed.holder, ed.by
 	return editMade
 }
 
--- a/core/rows.go
+++ b/core/rows.go
@@ -133,7 +133,7 @@
 	Attempt uint32    `cbor:"2,keyasint,omitempty"` // of the last claim
 	Holder  Holder    `cbor:"3,keyasint,omitempty"`
 	Output  string    `cbor:"4,keyasint,omitempty"`
-	Reason  string    `cbor:"5,keyasint,omitempty"`
+	Reason  string    `cbor:"5,keyasint,omitempty"` // of the last end, kept while the next attempt runs
 	// FailedOn lists distinct workers that the task failed on.
 	FailedOn []WorkerID `cbor:"6,keyasint,omitempty"`
 	// By is the entry that made the claim, the only one to order its start.
