load: the policy of short queues; cmd: headings of the help

Cause: two queued requests a slot became the default, so the policy 'queue2' compared it with itself; the help said 'for for operators'; one reason was never used. Change: the policy is queue1. Run: go test ./load ./cmd/jayloft green.

--- a/cmd/jayloft/main.go
+++ b/cmd/jayloft/main.go
@@ -30,7 +30,7 @@
 // Groups of the commands in the help.
 const (
 	groupProcess = "processes"
-	groupClient  = "for operators and tests"
+	groupClient  = "operators and tests"
 )
 
 func main() {
--- a/core/types.go
+++ b/core/types.go
@@ -139,7 +139,6 @@
 	ReasonStore       Reason = "store"       // the platform's table doesn't answer
 	ReasonNever       Reason = "never"       // no worker could ever hold the task
 	ReasonConfig      Reason = "config"      // the entry has no configuration yet
-	ReasonExists      Reason = "exists"      // the id is in use
 	ReasonInvalid     Reason = "invalid"     // the endpoint found the request itself at fault
 	ReasonRevoked     Reason = "revoked"     // the caller or entry took it back
 )
--- a/load/policy.go
+++ b/load/policy.go
@@ -28,7 +28,7 @@
 	{"lease5", "a lease of 5 s", func(p *core.Policy) { p.Lease = 5 * time.Second }},
 	{"lease10", "a lease of 10 s", func(p *core.Policy) { p.Lease = 10 * time.Second }},
 	{"lease25", "a lease of 25 s", func(p *core.Policy) { p.Lease = 25 * time.Second }},
-	{"queue2", "two queued requests for each slot", func(p *core.Policy) { p.QueuePerSlot = 2 }},
+	{"queue1", "one queued request for each slot", func(p *core.Policy) { p.QueuePerSlot = 1 }},
 	{"noqueue", "no queues at the agents", func(p *core.Policy) { p.QueuePerSlot = 0 }},
 }
 
