core: sorted keys by the library, a dead field, owners listed once

Cause: a last reading of the whole change. Three loops that collect and sort the keys of a map stood beside slices.Sorted(maps.Keys(m)); a wait for a shard kept a revision that nothing read; a show of entries worked out the live ones once for each shard. Behaviour as before.

--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 )
@@ -61,10 +63,7 @@
 		b.Ends = append(b.Ends, e)
 	}
 	sort.Slice(b.Ends, func(i, j int) bool { return lessAttempt(b.Ends[i].Attempt, b.Ends[j].Attempt) })
-	for inc := range a.gone {
-		b.Gone = append(b.Gone, inc)
-	}
-	sort.Slice(b.Gone, func(i, j int) bool { return b.Gone[i] < b.Gone[j] })
+	b.Gone = slices.Sorted(maps.Keys(a.gone))
 	return b
 }
 
--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"jayloft/limit"
@@ -121,7 +122,7 @@
 
 // commandsDue goes on with commands after a fault, or gives up on them.
 func (e *Entry) commandsDue() {
-	for _, id := range e.commandIDs() {
+	for _, id := range slices.Sorted(maps.Keys(e.commands)) {
 		c := e.commands[id]
 		switch {
 		case !e.at.Now.Before(c.by):
@@ -133,15 +134,6 @@
 	}
 }
 
-func (e *Entry) commandIDs() []string {
-	ids := make([]string, 0, len(e.commands))
-	for id := range e.commands {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // expire answers a command whose time is over. Only a command of which nothing
 // was ever sent is surely without effect.
 func (e *Entry) expire(c *command) {
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 
@@ -61,14 +63,7 @@
 	}
 }
 
-func (e *Entry) peerIDs() []EntryID {
-	ids := make([]EntryID, 0, len(e.peers))
-	for id := range e.peers {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
+func (e *Entry) peerIDs() []EntryID { return slices.Sorted(maps.Keys(e.peers)) }
 
 // commit sends a transaction with encoded records.
 func (e *Entry) commit(w wait, conds []table.Cond, recs []Record, keys []string) {
@@ -229,7 +224,7 @@
 			loading++
 		}
 		sh.reading = true
-		t := e.expect(waitShard{shard: s, since: sh.since})
+		t := e.expect(waitShard{shard: s})
 		e.emit(ReadChanges{Token: t, Prefix: shardPrefix(s), Since: sh.since})
 	}
 }
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -14,7 +14,7 @@
 // fences. Only a round whose parts were all read counts as a read of the table.
 type readRound struct {
 	next    time.Time
-	started time.Time // of the round in flight; zero if none
+	started time.Time // of the newest round
 	begun   uint64    // number of rounds started
 	done    uint64    // number of the last round that succeeded
 	doneAt  time.Time // when that one began
@@ -34,7 +34,6 @@
 // waitShard waits for the changes of one shard.
 type waitShard struct {
 	shard int
-	since uint64
 }
 
 func (waitRound) wait() {}
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -214,12 +214,13 @@
 
 func (e *Entry) listEntries() ([]string, [][]string) {
 	live := map[EntryID]bool{}
-	for _, id := range e.live() {
+	ids := e.live()
+	for _, id := range ids {
 		live[id] = true
 	}
 	shards := map[EntryID]int{}
 	for s := range e.shards {
-		shards[owner(s, e.live())]++
+		shards[owner(s, ids)]++
 	}
 	var rows [][]string
 	for id, p := range e.peers {
