--- a/cmd/jayloft/agent.go
+++ b/cmd/jayloft/agent.go
@@ -14,6 +14,7 @@
 	"jayloft/config"
 	"jayloft/core"
 	"jayloft/io"
+	"jayloft/platform"
 )
 
 // agentCommand runs an agent.
@@ -54,11 +55,11 @@
 	l := newLog(file).WithField("worker", string(file.Agent.Worker))
 	return run(l, file.Agent.Grace,
 		fx.Supply(file, *file.Agent),
-		fx.Provide(func() log.Interface { return l }, newAgent, agentProcess))
+		fx.Provide(func() log.Interface { return l }, io.BootClock, newWorker, newAgent, agentProcess))
 }
 
 // newAgent returns the agent of this life of the process.
-func newAgent(f config.File, cfg config.Agent, l log.Interface) *io.AgentServer {
+func newAgent(f config.File, cfg config.Agent, now io.Clock, w *platform.Worker, l log.Interface) *io.AgentServer {
 	site := core.AgentSite{
 		Worker:  cfg.Worker,
 		DC:      cfg.DC,
@@ -67,11 +68,26 @@
 		Entries: cfg.Entries,
 		Run:     core.Run(rand.Text()),
 	}
-	return io.NewAgent(site, cfg.VM, io.WithLog(l), io.WithPolicy(f.Options()...))
+	opts := []io.Option{io.WithLog(l), io.WithPolicy(f.Options()...), io.WithClock(now)}
+	if w != nil {
+		store := platform.NewStore(f.Platform.Store, f.Platform.DCs, l)
+		opts = append(opts, io.WithWorker(w), io.WithTable(store), io.WithPolicy(core.WithNamelessRuns()))
+	}
+	return io.NewAgent(site, cfg.VM, opts...)
 }
 
-func agentProcess(cfg config.Agent, a *io.AgentServer, l log.Interface) *process {
-	return &process{
+// newWorker returns the client of a platform's worker, nil for one that speaks
+// jayloft's own protocol.
+func newWorker(f config.File, now io.Clock, l log.Interface) *platform.Worker {
+	p := f.Platform
+	if p == nil {
+		return nil
+	}
+	return platform.NewWorker(p.Worker, now, platform.NewStore(p.Store, p.DCs, l), l)
+}
+
+func agentProcess(f config.File, cfg config.Agent, w *platform.Worker, a *io.AgentServer, l log.Interface) *process {
+	p := &process{
 		server: a,
 		sites: []site{
 			{cfg.Addr, a.Peers()},
@@ -80,4 +96,8 @@
 		grace: cfg.Grace,
 		log:   l,
 	}
+	if w != nil {
+		p.sites = append(p.sites, site{f.Platform.Beats, w.Beats(a.WorkerLeaves)})
+	}
+	return p
 }
--- a/cmd/jayloft/entry.go
+++ b/cmd/jayloft/entry.go
@@ -14,6 +14,8 @@
 	"jayloft/config"
 	"jayloft/core"
 	"jayloft/io"
+	"jayloft/platform"
+	"jayloft/table"
 )
 
 // entryCommand runs an entry.
@@ -57,23 +59,29 @@
 		fx.Provide(func() log.Interface { return l }, newTable, newEntry, entryProcess))
 }
 
-func newTable(cfg config.Entry) *io.Table { return io.NewTable(cfg.Table) }
+// newTable returns the client of the table that the settings name.
+func newTable(f config.File, cfg config.Entry, l log.Interface) table.Table {
+	if p := f.Platform; p != nil {
+		return platform.NewStore(p.Store, p.DCs, l)
+	}
+	return io.NewTable(cfg.Table)
+}
 
 // newEntry returns the entry under a name of its own, so that a later life of
 // the process is told apart.
-func newEntry(f config.File, cfg config.Entry, t *io.Table, l log.Interface) *io.EntryServer {
+func newEntry(f config.File, cfg config.Entry, t table.Table, l log.Interface) *io.EntryServer {
 	site := core.EntrySite{
 		ID:   core.EntryID(cfg.Name + "-" + rand.Text()[:lifeChars]),
 		Addr: cfg.Peers,
 	}
-	return io.NewEntry(site, t, io.WithLog(l), io.WithPolicy(f.Options()...))
+	return io.NewEntry(site, t, io.WithLog(l), io.WithPolicy(f.Options()...), io.WithClock(io.BootClock()))
 }
 
 // lifeChars is the length of the part of a name that tells lives apart.
 const lifeChars = 10
 
-func entryProcess(cfg config.Entry, e *io.EntryServer, l log.Interface) *process {
-	return &process{
+func entryProcess(f config.File, cfg config.Entry, e *io.EntryServer, l log.Interface) *process {
+	p := &process{
 		server: e,
 		sites: []site{
 			{cfg.Peers, e.Peers()},
@@ -83,4 +91,8 @@
 		grace: cfg.Grace,
 		log:   l,
 	}
+	if on := f.Platform; on != nil {
+		p.sites = append(p.sites, site{on.Front, platform.Front(e, l)}, site{on.Ready, platform.Ready(e.Metrics())})
+	}
+	return p
 }
--- a/config/config.go
+++ b/config/config.go
@@ -35,7 +35,10 @@
 	Entry *Entry // nil unless the file has [entry]
 	Agent *Agent // nil unless the file has [agent]
 	Stand *Stand // nil unless the file has [stand]
-	Log   Log
+	// Platform is nil unless the file has [platform]: without it an entry and
+	// an agent speak jayloft's own protocols to the table and the worker.
+	Platform *Platform
+	Log      Log
 	// Policy is core.DefaultPolicy with the changes that [policy] makes.
 	Policy core.Policy
 }
@@ -63,6 +66,17 @@
 	Grace   time.Duration    // for tasks and requests at a planned stop
 }
 
+// Platform is the settings of a process that runs on a platform with protocols
+// of its own.
+type Platform struct {
+	Store  netip.AddrPort // keeps the rows
+	Front  netip.AddrPort // entry: serves callers of queues here
+	Ready  netip.AddrPort // entry: tells the balancer here whether it may be given work
+	Beats  netip.AddrPort // agent: takes its worker's heartbeats here
+	Worker netip.AddrPort // agent: the worker's own interface
+	DCs    []string       // the data centres of the site
+}
+
 // Stand is the settings of the stand-ins for the platform and its workers.
 type Stand struct {
 	Platform netip.AddrPort // serves table and objects here; not valid if not here
--- a/config/parse.go
+++ b/config/parse.go
@@ -36,6 +36,7 @@
 		field{"entry", false, func(r *reader, n *node) { f.Entry = r.entry(n) }},
 		field{"agent", false, func(r *reader, n *node) { f.Agent = r.agent(n) }},
 		field{"stand", false, func(r *reader, n *node) { f.Stand = r.stand(n) }},
+		field{"platform", false, func(r *reader, n *node) { f.Platform = r.platform(n) }},
 		field{"log", false, func(r *reader, n *node) { r.log(n, &f.Log) }},
 		field{"policy", false, func(r *reader, n *node) { r.policy(n, &f.Policy) }},
 	)
@@ -66,12 +67,13 @@
 
 func (r *reader) entry(t *node) *Entry {
 	e := &Entry{Grace: entryGrace}
+	own := r.root.get("platform") == nil
 	r.fields(t, "[entry]",
 		field{"name", true, name(&e.Name)},
-		field{"callers", true, address(&e.Callers, "callers", listens)},
+		field{"callers", own, address(&e.Callers, "callers", listens)},
 		field{"peers", true, address(&e.Peers, "peers", announces)},
 		field{"metrics", false, address(&e.Metrics, "metrics", listens)},
-		field{"table", true, address(&e.Table, "table", calls)},
+		field{"table", own, address(&e.Table, "table", calls)},
 		field{"objects", false, address(&e.Objects, "objects", calls)},
 		field{"grace", false, length(&e.Grace, 0, maxGrace)},
 	)
@@ -83,19 +85,36 @@
 
 func (r *reader) agent(t *node) *Agent {
 	a := &Agent{Grace: agentGrace}
+	own := r.root.get("platform") == nil
 	r.fields(t, "[agent]",
 		field{"worker", true, name(&a.Worker)},
 		field{"dc", true, name(&a.DC)},
-		field{"rack", true, name(&a.Rack)},
+		field{"rack", own, name(&a.Rack)},
 		field{"addr", true, address(&a.Addr, "addr", announces)},
-		field{"entries", true, addresses(&a.Entries, "entries", calls)},
-		field{"vm", true, address(&a.VM, "vm", calls)},
+		field{"entries", own, addresses(&a.Entries, "entries", calls)},
+		field{"vm", own, address(&a.VM, "vm", calls)},
 		field{"metrics", false, address(&a.Metrics, "metrics", listens)},
 		field{"grace", false, length(&a.Grace, 0, maxGrace)},
 	)
 	return a
 }
 
+// platform reads [platform]. An entry needs the addresses that it serves there,
+// an agent those of its worker.
+func (r *reader) platform(t *node) *Platform {
+	p := &Platform{}
+	entry, agent := r.root.get("entry") != nil, r.root.get("agent") != nil
+	r.fields(t, "[platform]",
+		field{"store", true, address(&p.Store, "store", calls)},
+		field{"front", entry, address(&p.Front, "front", listens)},
+		field{"ready", entry, address(&p.Ready, "ready", listens)},
+		field{"beats", agent, address(&p.Beats, "beats", listens)},
+		field{"worker", agent, address(&p.Worker, "worker", calls)},
+		field{"dcs", true, names(&p.DCs)},
+	)
+	return p
+}
+
 func (r *reader) stand(t *node) *Stand {
 	s := &Stand{}
 	r.fields(t, "[stand]",
--- a/config/policy.go
+++ b/config/policy.go
@@ -43,6 +43,8 @@
 		{"beat", Seconds, 50 * ms, 10, func(p *core.Policy) any { return &p.BeatEvery }},
 		{"inspect", Seconds, 50 * ms, 10, func(p *core.Policy) any { return &p.InspectEvery }},
 		{"read", Seconds, 50 * ms, 5, func(p *core.Policy) any { return &p.ReadEvery }},
+		{"wait", Seconds, 0, 2, func(p *core.Policy) any { return &p.InspectWait }},
+		{"shards", Seconds, 0, minute, func(p *core.Policy) any { return &p.ShardEvery }},
 		{"silent", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.Silent }},
 		{"suspect", Seconds, 200 * ms, 10 * minute, func(p *core.Policy) any { return &p.Suspect }},
 		{"dead", Seconds, 1, 10 * minute, func(p *core.Policy) any { return &p.EntryDead }},
--- a/core/agent.go
+++ b/core/agent.go
@@ -1,9 +1,14 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
+
+	"jayloft/pace"
 )
 
 // Agent is the reducer of the process beside one worker. Nothing starts on the
@@ -16,11 +21,16 @@
 	out []AgentEffect
 
 	inc      Incarnation
-	ready    bool // the worker has been inspected
+	incBoot  string // the worker's boot that inc belongs to
+	incN     int    // number of inc within that boot, from 0
+	ready    bool   // the worker has been inspected
 	boot     string
 	capacity Size
 	slots    int
 	services []string
+	rack     Rack
+	labels   []string
+	draining bool // the worker will leave
 	used     Size
 	stray    Size // of tasks at the worker that are not held
 
@@ -38,10 +48,13 @@
 	peers  map[netip.AddrPort]*beatPeer
 
 	serve serveState
+	pace  pace.Control // of the fillers
 
 	leaving       bool
 	leaveBy       time.Time
 	exited        bool
+	nextFind      time.Time // when the rows of entries may be read again
+	answeredAt    time.Time // when an entry last answered a beat
 	nextInspect   time.Time
 	inspecting    bool
 	inspectedAt   time.Time         // when the worker last gave its account
@@ -88,6 +101,10 @@
 	case Tick:
 	case Inspected:
 		a.inspected(ev)
+	case WorkerLeaving:
+		a.drain()
+	case EntriesRead:
+		a.entriesRead(ev)
 	case BeatAnswered:
 		a.beatAnswered(ev)
 	case StartAsked:
@@ -123,6 +140,7 @@
 	a.drainDue()
 	a.launchDue()
 	a.checkpointDue()
+	a.findDue()
 	a.beatDue()
 	a.leaveDue()
 	a.arm()
@@ -149,7 +167,11 @@
 	if a.stopping() {
 		a.nextInspect = a.at.Now.Add(stopInspectEvery)
 	}
-	a.emit(Inspect{})
+	eff := Inspect{}
+	if a.pol.InspectWait > 0 {
+		eff.Until = a.at.Now.Add(a.pol.InspectWait)
+	}
+	a.emit(eff)
 }
 
 // inspected takes the worker's account. The first one settles which
@@ -163,17 +185,33 @@
 		return
 	}
 	a.inspectedAt, a.inspectFaults = a.at.Now, 0
-	if a.ready && ev.Boot != a.boot {
+	reboot := a.ready && ev.Boot != a.boot
+	a.boot = ev.Boot
+	if reboot {
 		a.rebooted()
 	}
-	a.boot = ev.Boot
 	a.capacity, a.slots, a.services = ev.Capacity, ev.Slots, ev.Services
+	a.rack, a.labels = cmp.Or(ev.Rack, a.site.Rack), ev.Labels
+	if ev.Draining {
+		a.drain()
+	}
+	a.draining = ev.Draining
 	if !a.ready && !a.adopt(ev.Tasks) {
 		return
 	}
 	a.matchTasks(ev.Tasks)
 }
 
+// drain refuses new work from now on, since the worker will leave.
+func (a *Agent) drain() {
+	if a.draining {
+		return
+	}
+	a.draining = true
+	a.note("draining", string(a.inc), "the worker will leave")
+	a.beatSoon()
+}
+
 // adopt takes over the tasks that an earlier agent process started, and its
 // incarnation. Where there are none, the agent joins as a new incarnation once
 // no launch of an earlier process can still be on its way. It reports whether
@@ -189,7 +227,7 @@
 		a.inc = t.Inc
 		a.held[t.Attempt.Task] = adopted(t)
 	}
-	if a.inc == "" && !a.settledIn() {
+	if a.inc == "" && !a.pol.BootInc && !a.settledIn() {
 		return false
 	}
 	a.ready, a.joined = true, a.at.Now
@@ -211,9 +249,39 @@
 	if a.inc != "" {
 		a.gone[a.inc] = true
 	}
-	a.inc = Incarnation(fmt.Sprintf("%s-%x-%x", a.site.Run, a.at.Now.UnixNano(), a.at.Seed))
 	a.fenced = false
 	a.echo, a.joined = time.Time{}, a.at.Now
+	if a.pol.BootInc {
+		a.nextOfBoot()
+		return
+	}
+	a.inc = Incarnation(fmt.Sprintf("%s-%x-%x", a.site.Run, a.at.Now.UnixNano(), a.at.Seed))
+}
+
+// nextOfBoot takes the next incarnation of the worker's present boot. A
+// restarted agent begins at the first again, so it goes on with what runs; if
+// that one was fenced, it goes on as this process did.
+func (a *Agent) nextOfBoot() {
+	if a.incBoot == a.boot {
+		a.incN++
+	} else {
+		a.incBoot, a.incN = a.boot, 0
+	}
+	a.inc = Incarnation(fmt.Sprintf("%s.%d", a.boot, a.incN))
+}
+
+// mayVouch reports whether an incarnation is known to be dead: one of an earlier
+// boot, or one that this process has left.
+func (a *Agent) mayVouch(inc Incarnation) bool {
+	if inc == "" || inc == a.inc || a.fenced {
+		return false
+	}
+	n, sameBoot := strings.CutPrefix(string(inc), a.boot+".")
+	if !a.pol.BootInc || !sameBoot {
+		return true
+	}
+	k, err := strconv.Atoi(n)
+	return err == nil && k < a.incN
 }
 
 // rebooted forgets what the VM held before it was restarted under the agent.
@@ -230,6 +298,9 @@
 		return
 	}
 	a.leaving, a.leaveBy = true, ev.By
+	if a.pol.KeepTasks {
+		return
+	}
 	for _, t := range a.heldInOrder() {
 		a.stop(t, EndEvicted, "agent leaves")
 	}
@@ -240,7 +311,7 @@
 	if !a.leaving {
 		return
 	}
-	idle := len(a.held) == 0 && len(a.ends) == 0 && a.serve.idle()
+	idle := (len(a.held) == 0 && len(a.ends) == 0 || a.pol.KeepTasks) && a.serve.idle()
 	if !idle && a.at.Now.Before(a.leaveBy) {
 		return
 	}
@@ -260,7 +331,10 @@
 
 // arm asks for a tick at the next time at which something is due.
 func (a *Agent) arm() {
-	next := a.nextInspect
+	next := a.at.Now.Add(housekeeping)
+	if !a.inspecting {
+		next = a.nextInspect
+	}
 	for _, p := range a.peers {
 		if !p.inFlight && p.next.Before(next) {
 			next = p.next
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -45,7 +45,10 @@
 		if o.Urgent {
 			room = room.Plus(a.batch())
 		}
-		if !a.expected(o).Fits(room) {
+		if o.Filler {
+			room = a.capacity.Minus(a.firm())
+		}
+		if !firmSize(a.expected(o), o.Filler).Fits(room) {
 			return ReasonRoom
 		}
 	}
@@ -74,7 +77,7 @@
 	if _, ok := a.tombstones[o.Attempt]; ok {
 		return ReasonTombstone
 	}
-	if out, _ := a.dcOut(); out || a.leaving || a.fenced {
+	if out, _ := a.dcOut(); out || a.leaving || a.fenced || a.draining {
 		return ReasonLeaving
 	}
 	if a.pol.on(guardPermit) && (o.Echo.Before(a.joined) || o.Echo.After(a.at.Now) || a.at.Now.Sub(o.Echo) > a.pol.Permit) {
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -50,10 +50,10 @@
 	out, _ := a.dcOut()
 	b := Beat{
 		Worker: a.site.Worker, Inc: a.inc, Run: a.site.Run, Addr: a.site.Addr,
-		DC: a.site.DC, Rack: a.site.Rack, Sent: a.at.Now,
+		DC: a.site.DC, Rack: a.rack, Labels: a.labels, Sent: a.at.Now,
 		Capacity: a.capacity, Committed: a.committed(), Batch: a.batch(), Used: a.used,
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
-		Config: a.config.rev, Leaving: a.leaving || out || a.fenced || a.workerQuiet(),
+		Config: a.config.rev, Leaving: a.leaving || out || a.fenced || a.draining || a.workerQuiet(),
 	}
 	for _, t := range a.heldInOrder() {
 		b.Running = append(b.Running, t.order.Attempt)
@@ -106,10 +106,12 @@
 		a.count("beat", ReasonCut)
 		return
 	}
-	p.answered = a.at.Now
+	p.answered, a.answeredAt = a.at.Now, a.at.Now
 	ans := ev.Answer
 	a.applyConfig(ans)
-	a.learnEntries(ans.Entries)
+	if len(ans.Entries) > 0 {
+		a.learnEntries(append(ans.Entries, ev.Entry))
+	}
 	for _, t := range ans.Recorded {
 		a.recorded(t)
 	}
@@ -120,8 +122,9 @@
 	for _, t := range ans.Moved {
 		a.dropMoved(t)
 	}
-	if ans.Prior != "" && ans.Prior != a.inc {
+	if a.mayVouch(ans.Prior) && !a.gone[ans.Prior] {
 		a.gone[ans.Prior] = true
+		a.beatSoon()
 	}
 	if ev.Sent.Before(a.joined) {
 		return // meant for an earlier incarnation
@@ -206,6 +209,48 @@
 	}
 }
 
+const (
+	// findAfter is how long no entry may answer until their rows are read.
+	findAfter = 3 * time.Second
+	// findEvery is the least time between two such reads.
+	findEvery = time.Second
+)
+
+// findDue reads the rows of entries when none answers.
+func (a *Agent) findDue() {
+	lonely := len(a.peers) == 0 || a.at.Now.Sub(latest(a.answeredAt, a.began)) > findAfter
+	if !a.pol.FindEntries || !lonely || a.at.Now.Before(a.nextFind) {
+		return
+	}
+	a.nextFind = a.at.Now.Add(findEvery)
+	a.emit(ReadEntries{})
+}
+
+// entriesRead takes the rows of entries. Some may be of dead ones; those don't
+// answer, and the answers of the others name the live ones.
+func (a *Agent) entriesRead(ev EntriesRead) {
+	if ev.Fault != FaultNone {
+		a.count("store.read", ReasonStore)
+		return
+	}
+	var addrs []netip.AddrPort
+	for _, r := range ev.View.Rows {
+		rec, err := Decode(r.Key, r.Value)
+		if err != nil {
+			a.note("entry row passed over", r.Key, err.Error())
+			continue
+		}
+		row, _ := rec.(EntryRow)
+		addr, err := netip.ParseAddrPort(row.Addr)
+		if err != nil {
+			a.note("entry row without an address", r.Key, err.Error())
+			continue
+		}
+		addrs = append(addrs, addr)
+	}
+	a.learnEntries(addrs)
+}
+
 // recorded forgets an end that the table holds.
 func (a *Agent) recorded(t Attempt) {
 	if _, ok := a.ends[t]; !ok {
--- a/core/agentdrain.go
+++ b/core/agentdrain.go
@@ -4,9 +4,10 @@
 
 // drainDue stops tasks while the VM's data centre is out. They go on until
 // shortly before the deadline, so that those that end by then need not move.
+// Without a deadline they end where they are.
 func (a *Agent) drainDue() {
 	out, by := a.dcOut()
-	if !out {
+	if !out || by.IsZero() {
 		for _, t := range a.held {
 			t.evictAt = time.Time{}
 		}
--- a/core/agentmatch.go
+++ b/core/agentmatch.go
@@ -19,6 +19,7 @@
 		}
 	}
 	a.makeRoom()
+	a.paceFillers()
 	a.rejoin()
 }
 
@@ -29,7 +30,7 @@
 		a.matchEnded(t, mine, w)
 		return
 	}
-	if !mine && !ok && w.Inc == a.inc && !a.settledIn() {
+	if !mine && !ok && a.own(w) && !a.settledIn() {
 		t, mine = adopted(w), true
 		a.held[w.Attempt.Task] = t
 	}
@@ -42,6 +43,7 @@
 		t.listed, t.started = true, true
 		a.renewTask(t)
 	}
+	t.tail = w.Tail
 	t.peak = t.peak.Max(w.Used)
 	t.saved = latest(t.saved, w.Checkpointed)
 	if t.stopping != "" && a.at.Now.Sub(t.stopSent) >= restopAfter {
@@ -55,6 +57,9 @@
 	if mine {
 		e := w.End
 		e.Attempt = w.Attempt
+		if e.Kind == EndEvicted && t.stopping == EndCancelled {
+			e.Kind = EndCancelled
+		}
 		a.ended(t, e)
 		if t.moved {
 			a.emit(Control{Attempt: w.Attempt, Verb: VerbForget})
@@ -64,7 +69,7 @@
 	if _, ok := a.ends[w.Attempt]; ok {
 		return
 	}
-	if w.Inc != a.inc || a.knows(w.Attempt) {
+	if !a.own(w) || a.knows(w.Attempt) {
 		a.emit(Control{Attempt: w.Attempt, Verb: VerbForget})
 		return
 	}
@@ -73,6 +78,11 @@
 	a.ends[w.Attempt] = e
 }
 
+// own reports whether a task was started by this incarnation, as far as the
+// worker can tell: one that names no incarnations lists only tasks of its own
+// present life.
+func (a *Agent) own(w WorkerTask) bool { return w.Inc == a.inc || w.Inc == "" && a.pol.BootInc }
+
 // knows reports whether an ended attempt was reported and recorded by this
 // life of the agent.
 func (a *Agent) knows(t Attempt) bool {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -15,17 +15,20 @@
 	deadline time.Time
 	stopping EndKind
 	stopSent time.Time
-	evictAt  time.Time // when a drain stops it; zero if not
-	saved    time.Time // last checkpoint, or the start
-	percent  int       // of full speed; zero if never changed
-	moved    bool      // its claim is another's: its end is of no use
-	expect   Size      // by what its class was seen to use
+	evictAt  time.Time     // when a drain stops it; zero if not
+	saved    time.Time     // last checkpoint, or the start
+	percent  int           // of full speed; zero if never changed
+	taken    int           // percent of full speed taken from a filler
+	moved    bool          // its claim is another's: its end is of no use
+	expect   Size          // by what its class was seen to use
+	tail     time.Duration // of a lasting task, as the worker measured it last
 }
 
 func adopted(t WorkerTask) *heldTask {
 	return &heldTask{
 		order: Order{
 			Attempt: t.Attempt, Holder: Holder{Inc: t.Inc}, Class: t.Class, Size: t.Size, Urgent: t.Urgent,
+			Filler: t.Filler, Lasting: t.Lasting, Target: t.Target,
 		},
 		peak: t.Used, launched: true, listed: true, started: true, saved: latest(t.Started, t.Checkpointed),
 	}
@@ -35,6 +38,21 @@
 // what it was seen to use, and what its class was seen to use.
 func (t *heldTask) size() Size { return t.order.Size.Max(t.peak).Max(t.expect) }
 
+// firm returns what the task takes for itself; a filler's processors don't
+// count.
+func (t *heldTask) firm() Size { return firmSize(t.size(), t.order.Filler) }
+
+// soft returns the part of the size that tasks placed first may take.
+func (t *heldTask) soft() Size {
+	switch {
+	case t.order.Filler:
+		return t.size().Minus(t.firm())
+	case t.order.Urgent:
+		return Size{}
+	}
+	return t.size()
+}
+
 // Times of the agent's dealings with its worker.
 const (
 	// restopAfter is how long a stop may go without effect before it is
@@ -73,9 +91,16 @@
 func (a *Agent) batch() Size {
 	var sum Size
 	for _, t := range a.held {
-		if !t.order.Urgent {
-			sum = sum.Plus(t.size())
-		}
+		sum = sum.Plus(t.soft())
+	}
+	return sum
+}
+
+// firm returns the sum of what the VM's tasks take for themselves.
+func (a *Agent) firm() Size {
+	sum := a.reserved().Plus(a.stray)
+	for _, t := range a.held {
+		sum = sum.Plus(t.firm())
 	}
 	return sum
 }
@@ -94,10 +119,10 @@
 	if !a.pol.on(guardAdmission) {
 		return
 	}
-	over := a.committed()
+	over := a.firm()
 	for _, t := range a.heldInOrder() {
 		if t.stopping != "" {
-			over = over.Minus(t.size())
+			over = over.Minus(t.firm())
 		}
 	}
 	for _, t := range a.heldInOrder() {
@@ -107,7 +132,7 @@
 		if t.order.Urgent || t.stopping != "" {
 			continue
 		}
-		over = over.Minus(t.size())
+		over = over.Minus(t.firm())
 		a.count("evict", ReasonRoom)
 		a.stop(t, EndEvicted, "room for urgent work or grown usage")
 	}
@@ -172,10 +197,10 @@
 	if !a.pol.on(guardAdmission) {
 		return true
 	}
-	sum := a.reserved().Plus(a.stray).Plus(t.size())
+	sum := a.reserved().Plus(a.stray).Plus(t.firm())
 	for _, u := range a.held {
 		if u != t && u.launched {
-			sum = sum.Plus(u.size())
+			sum = sum.Plus(u.firm())
 		}
 	}
 	return sum.Fits(a.capacity)
@@ -197,6 +222,9 @@
 		t.started = true
 		a.renewTask(t)
 		a.beatSoon() // an entry may want it to run slower
+	case ev.Again:
+		a.count("launch", ReasonWorker)
+		a.ended(t, End{Attempt: ev.Attempt, Kind: EndLost, Reason: "worker refused: " + ev.Reason})
 	default:
 		a.ended(t, End{Attempt: ev.Attempt, Kind: EndFailed, Reason: "worker refused: " + ev.Reason})
 	}
--- a/core/edit.go
+++ b/core/edit.go
@@ -39,6 +39,40 @@
 	n int
 }
 
+// createEdit puts a job into the table that is not there yet.
+type createEdit struct{}
+
+// stopEdit cancels a job: its waiting tasks end, and those that run are
+// stopped.
+type stopEdit struct{}
+
+// jobWide is the task of edits that concern a whole job.
+const jobWide = -1
+
+func (createEdit) task() int { return jobWide }
+func (stopEdit) task() int   { return jobWide }
+
+func (createEdit) apply(r *JobRow, _ *Policy) applied {
+	if r.stored {
+		return editDone
+	}
+	r.stored = true
+	return editMade
+}
+
+func (stopEdit) apply(r *JobRow, _ *Policy) applied {
+	if r.Cancel || !r.Ended.IsZero() {
+		return editDone
+	}
+	r.Cancel = true
+	for i := range r.Tasks {
+		if t := &r.Tasks[i]; t.State == TaskWaiting {
+			t.State = TaskCancelled
+		}
+	}
+	return editMade
+}
+
 // parkEdit ends a waiting task that can never run.
 type parkEdit struct {
 	n      int
@@ -73,22 +107,34 @@
 		return editVoid
 	}
 	t.Reason = ed.end.Reason
+	if ed.end.Saved != "" {
+		t.Saved = ed.end.Saved
+	}
 	t.State = ed.next(r, t, p)
 	if t.State == TaskDone {
 		t.Output = ed.end.Output
 	}
+	if t.State == TaskFailed && len(r.Spec.Steps) > 0 {
+		r.Cancel = true // the job can't be done any more, so the rest of it stops
+	}
 	return editMade
 }
 
 // next returns the task's state after the end of an attempt.
 func (ed endEdit) next(r *JobRow, t *TaskRow, p *Policy) TaskState {
+	lasting := r.Spec.Step(ed.task()).Lasting
 	switch {
+	case ed.end.Kind == EndDone && lasting && !r.Cancel:
+		return TaskWaiting
 	case ed.end.Kind == EndDone:
 		return TaskDone
 	case r.Cancel && ed.end.Kind != EndLost:
 		return TaskCancelled
 	case ed.never:
 		return TaskWaiting
+	case ed.end.Kind == EndFailed && lasting:
+		t.FailedOn = []WorkerID{ed.worker}
+		return TaskWaiting
 	case ed.end.Kind == EndFailed:
 		return failedState(r, t, ed, p)
 	case ed.end.Kind == EndLost && r.Spec.Once:
@@ -108,13 +154,17 @@
 	if r.Spec.Once {
 		return TaskFailed
 	}
+	t.Failures++
+	if most := r.Spec.Attempts; most > 0 && int(t.Failures) >= most {
+		return TaskFailed
+	}
 	for _, w := range t.FailedOn {
 		if w == ed.worker {
 			return TaskWaiting
 		}
 	}
 	t.FailedOn = append(append([]WorkerID{}, t.FailedOn...), ed.worker)
-	if len(t.FailedOn) >= p.ParkFailures {
+	if r.Spec.Attempts == 0 && len(t.FailedOn) >= p.ParkFailures {
 		return TaskFailed
 	}
 	return TaskWaiting
--- a/core/effect.go
+++ b/core/effect.go
@@ -158,8 +158,15 @@
 	Beat  Beat
 }
 
-// Inspect asks the worker for its account. It comes back as Inspected.
-type Inspect struct{}
+// Inspect asks the worker for its account. It comes back as Inspected, by the
+// time Until or once a task has ended.
+type Inspect struct {
+	Until time.Time // zero: at once
+}
+
+// ReadEntries reads the rows of entries from the table, for an agent that hears
+// from none. It comes back as EntriesRead.
+type ReadEntries struct{}
 
 // Launch starts a task at the worker. It comes back as Launched.
 type Launch struct {
@@ -229,6 +236,7 @@
 
 func (SendBeat) agentEffect()    {}
 func (Inspect) agentEffect()     {}
+func (ReadEntries) agentEffect() {}
 func (Launch) agentEffect()      {}
 func (Renew) agentEffect()       {}
 func (Control) agentEffect()     {}
--- a/core/entry.go
+++ b/core/entry.go
@@ -58,6 +58,7 @@
 	noise                  noise.Model
 
 	commands map[string]*command // by id, changes only
+	asks     map[Token]*ask      // callers' calls about jobs, by the call's token
 
 	leaving  bool
 	leaveBy  time.Time
@@ -97,6 +98,7 @@
 		hedges:     limit.NewBudget(pol.HedgeShare, hedgeBurst),
 		retryShare: pol.RetryShare, hedgeShare: pol.HedgeShare,
 		commands: map[string]*command{},
+		asks:     map[Token]*ask{},
 	}
 }
 
@@ -120,6 +122,8 @@
 		e.hearAsked(ev)
 	case CommandAsked:
 		e.commandAsked(ev)
+	case JobAsked:
+		e.jobAsked(ev)
 	case Leave:
 		e.leave(ev)
 	default:
@@ -149,6 +153,8 @@
 		e.settleAnswered(ev)
 	case HearAnswered:
 		e.hearAnswered(ev)
+	case RelayAnswered:
+		e.relayAnswered(ev)
 	}
 }
 
@@ -164,6 +170,7 @@
 	e.claimsDue()
 	e.keepDue()
 	e.commandsDue()
+	e.asksDue()
 	e.schedule()
 	e.flushDue()
 	e.leaveDue()
@@ -218,7 +225,7 @@
 	if !e.leaving {
 		return
 	}
-	idle := len(e.requests) == 0 && len(e.commands) == 0 && e.group.idle()
+	idle := len(e.requests) == 0 && len(e.commands) == 0 && len(e.asks) == 0 && e.group.idle()
 	if !idle && e.at.Now.Before(e.leaveBy) {
 		return
 	}
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -185,9 +185,7 @@
 			continue
 		}
 		all = all.Plus(c.size)
-		if !c.urgent {
-			batch = batch.Plus(c.size)
-		}
+		batch = batch.Plus(c.soft)
 	}
 	return all, batch
 }
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -18,12 +18,22 @@
 		return
 	}
 	w := e.workers[c.holder.Worker]
-	spec := &j.row.Spec
 	c.asking, c.since = true, e.at.Now
-	e.emit(Start{Token: e.expect(waitStart{c}), Addr: w.beat.Addr, Order: Order{
+	e.emit(Start{Token: e.expect(waitStart{c}), Addr: w.beat.Addr, Order: j.order(c)})
+}
+
+// order returns the order to start a claim's attempt.
+func (j *jobView) order(c *claim) Order {
+	spec := &j.row.Spec
+	n := c.attempt.Task.N
+	st := spec.Step(n)
+	step, index := spec.Locate(n)
+	return Order{
 		Attempt: c.attempt, Holder: c.holder, Echo: c.echo, Team: spec.Team, Class: spec.Class,
-		Size: spec.Size, Urgent: spec.Urgent, Input: spec.Inputs[ed.n],
-	}})
+		Size: st.Size, Urgent: c.urgent, Input: spec.input(n),
+		Step: step, Index: index, Saved: j.row.Tasks[n].Saved,
+		Filler: st.Filler, Lasting: st.Lasting, Target: st.Target,
+	}
 }
 
 // startAnswered takes an agent's answer to a start order. A refusal proves
@@ -122,12 +132,15 @@
 }
 
 // ended counts how attempts end at a worker.
-func (e *Entry) ended(_ *jobView, ed endEdit) {
+func (e *Entry) ended(j *jobView, ed endEdit) {
 	w := e.workers[ed.worker]
 	if w == nil || ed.never {
 		return
 	}
 	e.count("end", Reason(ed.end.Kind))
+	if ed.end.Kind == EndLost {
+		j.avoid[w.id] = e.at.Now.Add(avoidFor)
+	}
 	w.failures.note(ed.end, e.at.Now)
 	e.indexWorker(w)
 }
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"jayloft/limit"
@@ -267,8 +269,16 @@
 
 // settled acts on an edit that the table holds.
 func (e *Entry) settled(j *jobView, ed edit) {
-	n := ed.task()
-	e.reconcile(j, n)
+	switch ed := ed.(type) {
+	case createEdit:
+		e.askSettled(j, JobSubmit)
+	case stopEdit:
+		e.askSettled(j, JobStop)
+		e.stopClaims(j)
+	case endEdit:
+		e.stepEnded(j, ed)
+	}
+	e.reconcileEdit(j, ed)
 	if j.foreign {
 		return
 	}
@@ -280,6 +290,44 @@
 	}
 }
 
+// reconcileEdit brings what an edit is about in line with the job's row.
+func (e *Entry) reconcileEdit(j *jobView, ed edit) {
+	if ed.task() == jobWide {
+		e.reconcileAll(j)
+		return
+	}
+	e.reconcile(j, ed.task())
+}
+
+// stepEnded goes on with a job of steps after an attempt's end: with the steps
+// that waited for this one, or with stopping the rest of a failed job.
+func (e *Entry) stepEnded(j *jobView, ed endEdit) {
+	if len(j.row.Spec.Steps) == 0 {
+		return
+	}
+	step, _ := j.row.Spec.Locate(ed.task())
+	if j.row.Cancel {
+		e.stopClaims(j)
+	}
+	if j.row.Cancel || j.row.stepDone(step) {
+		e.reconcileAll(j)
+	}
+}
+
+// stopClaims stops what runs of a cancelled job, now rather than at the next
+// look at all claims.
+func (e *Entry) stopClaims(j *jobView) {
+	if j.foreign || !j.row.Cancel {
+		return
+	}
+	for _, n := range slices.Sorted(maps.Keys(j.claims)) {
+		c := j.claims[n]
+		if w := e.workers[c.holder.Worker]; w != nil && !w.silent {
+			e.claimDue(w, c)
+		}
+	}
+}
+
 // voided undoes what was assumed for an edit that the table won't hold.
 func (e *Entry) voided(j *jobView, ed edit) {
 	if c, ok := ed.(claimEdit); ok {
@@ -287,12 +335,12 @@
 			e.dropClaim(j, cl)
 		}
 	}
-	e.reconcile(j, ed.task())
+	e.reconcileEdit(j, ed)
 }
 
 // dropForeign forgets another entry's job once its edits are written.
 func (e *Entry) dropForeign(j *jobView) {
-	if j.foreign && len(j.edits) == 0 && len(j.flying) == 0 {
+	if j.foreign && len(j.edits) == 0 && len(j.flying) == 0 && len(j.askers) == 0 {
 		delete(e.jobs, j.row.Spec.ID)
 	}
 }
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -13,6 +13,8 @@
 	shard   int
 	foreign bool // of a shard that another entry owns; kept for one edit
 
+	askers []*ask // who wait for an edit of the whole job
+
 	edits  []edit // to be written
 	flying []edit // in the transaction that is in flight
 	dirty  bool   // listed in the group's queue
@@ -36,6 +38,7 @@
 	committed bool      // the table holds it
 	since     time.Time // when it was decided or loaded
 	echo      time.Time // for the start order
+	soft      Size      // the part of size that tasks placed first may take
 	listed    bool      // the agent has reported it
 	heard     time.Time // when last
 	asking    bool      // a start or settle is in flight
@@ -69,18 +72,12 @@
 		return
 	}
 	if j == nil {
-		shard := ShardOf(id)
-		j = &jobView{
-			shard: shard, foreign: !e.shards[shard].owned,
-			claims: map[int]*claim{}, avoid: map[WorkerID]time.Time{}, waits: map[int]Reason{},
-		}
-		e.jobs[id] = j
+		j = e.newJob(row)
 	}
+	row.stored = true
 	j.foreign = !e.shards[j.shard].owned
 	j.row, j.version = row, r.Version
-	for n := range row.Tasks {
-		e.reconcile(j, n)
-	}
+	e.reconcileAll(j)
 }
 
 // forget drops a job from memory.
@@ -91,7 +88,7 @@
 			e.dropClaim(j, c)
 		}
 	}
-	if len(j.flying) == 0 && len(j.edits) == 0 {
+	if len(j.flying) == 0 && len(j.edits) == 0 && len(j.askers) == 0 {
 		delete(e.jobs, id)
 	} else {
 		j.foreign = true
@@ -121,8 +118,12 @@
 		e.edit(j, cancelEdit{n: n})
 		return
 	}
+	if !j.row.ready(n) {
+		e.queue.remove(id)
+		return
+	}
 	if !j.pending(n) {
-		e.queue.add(id, j.row.Spec.Urgent)
+		e.queue.add(e.waiting(j, n))
 	}
 }
 
@@ -183,10 +184,18 @@
 
 func (j *jobView) newClaim(n int, number uint32, h Holder, now time.Time) *claim {
 	spec := &j.row.Spec
-	return &claim{
+	st := spec.Step(n)
+	c := &claim{
 		attempt: Attempt{Task: TaskID{Job: spec.ID, N: n}, Number: number},
-		holder:  h, size: spec.Size, urgent: spec.Urgent, once: spec.Once, class: spec.Class, since: now,
+		holder:  h, size: st.Size, urgent: spec.first(st), once: spec.Once, class: spec.Class, since: now,
 	}
+	switch {
+	case st.Filler:
+		c.soft = st.Size.Minus(st.Firm())
+	case !c.urgent:
+		c.soft = st.Size
+	}
+	return c
 }
 
 // releaseLost releases a claim whose task can't be running any more.
@@ -208,7 +217,14 @@
 		return
 	}
 	j := e.jobs[t.Task.Job]
-	if j == nil || t.Task.N >= len(j.row.Tasks) {
+	if j == nil {
+		// The owner of the shard holds all of its jobs: this one has ended.
+		if sh := &e.shards[ShardOf(t.Task.Job)]; sh.owned && sh.loaded && e.at.Now.Sub(sh.loadedAt) > orphanAfter {
+			ans.Moved = append(ans.Moved, t)
+		}
+		return
+	}
+	if t.Task.N >= len(j.row.Tasks) {
 		return
 	}
 	row := &j.row.Tasks[t.Task.N]
@@ -314,6 +330,8 @@
 		e.jobRead(w, ev)
 	case waitCommand:
 		e.commandRead(w.c, ev)
+	case waitAsk:
+		e.askRead(w.a, ev)
 	case waitWhy:
 		e.whyRead(w, ev)
 	}
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -16,16 +16,20 @@
 // peerView is another entry, or this one, as its row in the table shows it.
 type peerView struct {
 	row     EntryRow
+	addr    netip.AddrPort // not valid if the row holds none
 	version uint64
 	changed time.Time // when the row was last seen to change
 }
 
 // shardView is a shard of jobs.
 type shardView struct {
-	owned   bool
-	loaded  bool
-	since   uint64
-	reading bool
+	owner    EntryID // by the last look at the live entries
+	owned    bool
+	loaded   bool
+	loadedAt time.Time // when it was first read whole
+	since    uint64
+	reading  bool
+	next     time.Time // when a loaded shard is read again
 }
 
 // waitMember waits for the write of the own row.
@@ -40,7 +44,7 @@
 	}
 	e.nextMe = e.at.Now.Add(e.pol.EntryDead / 3)
 	e.beatN++
-	row := EntryRow{ID: e.site.ID, Addr: e.site.Addr.String(), Beat: e.beatN}
+	row := EntryRow{ID: e.site.ID, Addr: e.site.Addr.String(), Beat: e.beatN, Pending: e.pending()}
 	e.commit(waitMember{}, nil, []Record{row}, []string{keyEntry(e.site.ID)})
 	e.dropDead()
 }
@@ -100,18 +104,27 @@
 		p = &peerView{}
 		e.peers[row.ID] = p
 	}
-	if r.Version > p.version {
-		p.row, p.version, p.changed = row, r.Version, e.at.Now
+	if r.Version <= p.version {
+		return
+	}
+	p.row, p.version, p.changed = row, r.Version, e.at.Now
+	addr, err := netip.ParseAddrPort(row.Addr)
+	if err != nil {
+		e.note("entry row without an address", r.Key, err.Error())
 	}
+	p.addr = addr
 }
 
-// live returns the ids of the entries that seem alive, this one included. In
-// an outage of the table no row changes, so rows age only by reads that work.
+// alive reports whether an entry's row has changed of late. In an outage of
+// the table no row changes, so rows age only by reads that work.
+func (e *Entry) alive(p *peerView) bool { return e.round.doneAt.Sub(p.changed) < e.pol.EntryDead }
+
+// live returns the ids of the entries that seem alive, this one included.
 func (e *Entry) live() []EntryID {
 	ids := []EntryID{}
 	for _, id := range e.peerIDs() {
 		p := e.peers[id]
-		if id != e.site.ID && e.round.doneAt.Sub(p.changed) < e.pol.EntryDead {
+		if id != e.site.ID && e.alive(p) {
 			ids = append(ids, id)
 		}
 	}
@@ -129,7 +142,7 @@
 		if id == e.site.ID {
 			continue
 		}
-		if addr, err := netip.ParseAddrPort(e.peers[id].row.Addr); err == nil {
+		if addr := e.peers[id].addr; addr.IsValid() {
 			addrs = append(addrs, addr)
 		}
 	}
@@ -146,7 +159,8 @@
 	e.reads.Set(e.at.Now, e.pol.ReadsPerSecond/n)
 	for s := range e.shards {
 		sh := &e.shards[s]
-		owned := owner(s, live) == e.site.ID
+		sh.owner = owner(s, live)
+		owned := sh.owner == e.site.ID
 		if owned == sh.owned {
 			continue
 		}
@@ -210,7 +224,7 @@
 	loading := 0
 	for s := range e.shards {
 		sh := &e.shards[s]
-		if !sh.owned || sh.reading {
+		if !sh.owned || sh.reading || sh.loaded && e.at.Now.Before(sh.next) {
 			continue
 		}
 		if !sh.loaded && loading >= shardLoads {
@@ -223,7 +237,7 @@
 		if !sh.loaded {
 			loading++
 		}
-		sh.reading = true
+		sh.reading, sh.next = true, e.at.Now.Add(e.pol.ShardEvery)
 		t := e.expect(waitShard{shard: s})
 		e.emit(ReadChanges{Token: t, Prefix: shardPrefix(s), Since: sh.since})
 	}
@@ -242,7 +256,9 @@
 	if !sh.owned {
 		return
 	}
-	sh.loaded = true
+	if !sh.loaded {
+		sh.loaded, sh.loadedAt = true, e.at.Now
+	}
 	sh.since = max(sh.since, ev.View.Revision)
 	for _, r := range ev.View.Rows {
 		e.jobRow(r)
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -24,33 +26,78 @@
 	retryPlace = 250 * time.Millisecond
 )
 
-// taskQueue holds the tasks that wait for a worker, urgent ones first.
+// taskQueue holds the tasks that wait for a worker, those that are placed first
+// apart from batch tasks.
 type taskQueue struct {
-	urgent, batch []TaskID
+	urgent, batch []waiting
 	has           map[TaskID]bool
-	blocked       bool // no room was found, and nothing has changed since
+	unsorted      bool
+	added         uint64 // tasks that were ever added
+	blocked       bool   // no room was found, and nothing has changed since
 	again         time.Time
 }
 
-func (q *taskQueue) add(t TaskID, urgent bool) {
-	if q.has[t] {
+// waiting is a task that waits for a worker, with what decides its turn.
+type waiting struct {
+	task     TaskID
+	first    bool
+	priority int
+	due      time.Time // of its job; zero without one
+	number   uint64    // order of arrival
+}
+
+// waiting returns a job's task as it waits in the queue.
+func (e *Entry) waiting(j *jobView, n int) waiting {
+	spec := &j.row.Spec
+	w := waiting{task: TaskID{Job: spec.ID, N: n}, first: spec.first(spec.Step(n)), priority: spec.Priority}
+	if len(spec.Steps) > 0 {
+		w.due = j.row.Due()
+	}
+	return w
+}
+
+func (q *taskQueue) add(w waiting) {
+	if q.has[w.task] {
 		return
 	}
 	if q.has == nil {
 		q.has = map[TaskID]bool{}
 	}
-	q.has[t] = true
-	if urgent {
-		q.urgent = append(q.urgent, t)
+	q.has[w.task] = true
+	q.added++
+	w.number = q.added
+	if w.first {
+		q.urgent = append(q.urgent, w)
 	} else {
-		q.batch = append(q.batch, t)
+		q.batch = append(q.batch, w)
 	}
-	q.blocked = false
+	q.unsorted, q.blocked = true, false
 }
 
 // remove takes a task out; its place in the order is dropped by the next step.
 func (q *taskQueue) remove(t TaskID) { delete(q.has, t) }
 
+// sort brings the tasks in order: by priority, then those of the job that is
+// due first, then by arrival.
+func (q *taskQueue) sort() {
+	if !q.unsorted {
+		return
+	}
+	q.unsorted = false
+	slices.SortStableFunc(q.urgent, waiting.compare)
+	slices.SortStableFunc(q.batch, waiting.compare)
+}
+
+func (w waiting) compare(o waiting) int {
+	if w.priority != o.priority {
+		return cmp.Compare(w.priority, o.priority)
+	}
+	if c := w.due.Compare(o.due); c != 0 {
+		return c
+	}
+	return cmp.Compare(w.number, o.number)
+}
+
 // schedule places waiting tasks.
 func (e *Entry) schedule() {
 	if e.leaving || !e.ready() || e.circuit.Open(e.at.Now) || len(e.group.dirty) > 2*e.pol.TxnRows {
@@ -59,29 +106,38 @@
 	if e.queue.blocked && e.at.Now.Before(e.queue.again) {
 		return
 	}
+	e.queue.sort()
 	e.queue.urgent = e.placeAll(e.queue.urgent)
 	e.queue.batch = e.placeAll(e.queue.batch)
 }
 
 // placeAll places tasks of one queue in order and returns those that are left.
-func (e *Entry) placeAll(ts []TaskID) []TaskID {
-	var left []TaskID
+func (e *Entry) placeAll(ts []waiting) []waiting {
+	var left []waiting
 	tries, placed := 0, 0
-	for i, t := range ts {
+	failed := map[stepID]bool{} // steps of which a task found no room
+	for i, w := range ts {
 		if tries >= placeTries || placed >= placeBurst {
 			left = append(left, ts[i:]...)
 			break
 		}
+		t := w.task
 		if !e.queue.has[t] {
 			continue
 		}
+		step := e.stepOf(t)
+		if failed[step] {
+			left = append(left, w)
+			continue
+		}
 		if e.placeTask(t) {
 			placed++
 			e.queue.remove(t)
 			continue
 		}
 		tries++
-		left = append(left, t)
+		failed[step] = len(e.jobs[t.Job].row.Spec.Steps) > 0
+		left = append(left, w)
 	}
 	if tries > 0 {
 		e.queue.blocked, e.queue.again = true, e.at.Now.Add(retryPlace)
@@ -89,6 +145,20 @@
 	return left
 }
 
+// stepID names a step of a job.
+type stepID struct {
+	job  JobID
+	step int
+}
+
+func (e *Entry) stepOf(t TaskID) stepID {
+	id := stepID{job: t.Job}
+	if j := e.jobs[t.Job]; j != nil {
+		id.step, _ = j.row.Spec.Locate(t.N)
+	}
+	return id
+}
+
 // placeTask chooses a worker for a task and decides its claim. It reports
 // whether the task need not stay in the queue.
 func (e *Entry) placeTask(t TaskID) bool {
@@ -118,14 +188,21 @@
 // pick chooses the worker for a task: dense for batch, spread for urgent, and
 // for urgent work also where batch work can make room.
 func (e *Entry) pick(j *jobView, t TaskID) (WorkerID, bool) {
+	st := j.row.Spec.Step(t.N)
+	first := j.row.Spec.first(st)
 	need := place.Need{
-		Size: j.row.Spec.Size, Spread: j.row.Spec.Urgent, Owner: string(t.Job), Avoid: e.avoided(j, t.N),
+		Size: st.Size, Spread: first || st.Filler, Owner: string(t.Job), Avoid: e.avoided(j, t.N),
 	}
+	need.Avoid = append(need.Avoid, e.unfit(j, t.N, st)...)
 	seed := e.at.Seed ^ uint64(e.token)<<20 ^ uint64(t.N)
 	if e.pol.FirstFit {
 		return e.firstFit(need)
 	}
-	if !j.row.Spec.Urgent {
+	if st.Filler {
+		id, ok := e.index.Pick(need, seed)
+		return WorkerID(id), ok
+	}
+	if !first {
 		id, ok := e.pickQuiet(need, j.row.Spec.Class, seed)
 		return WorkerID(id), ok
 	}
@@ -133,12 +210,54 @@
 		return WorkerID(id), true
 	}
 	id, ok := e.index.PickReclaim(need, seed)
-	if ok {
+	if ok && len(j.row.Spec.Steps) == 0 {
 		e.count("preempt", ReasonRoom)
 	}
 	return WorkerID(id), ok
 }
 
+// unfit returns the workers that a task of a queue's job must not go to: those
+// of other services, without its label, or with as many of its step's tasks
+// as may be on one.
+func (e *Entry) unfit(j *jobView, n int, st StepSpec) []string {
+	spec := &j.row.Spec
+	if len(spec.Steps) == 0 {
+		return nil
+	}
+	var ids []string
+	for _, id := range e.workerIDs() {
+		if !e.workers[id].serves(spec.Service) || !e.workers[id].labelled(st.Label) {
+			ids = append(ids, string(id))
+		}
+	}
+	if st.PerWorker == 0 {
+		return ids
+	}
+	step, _ := spec.Locate(n)
+	held := map[WorkerID]int{}
+	for m, c := range j.claims {
+		if s, _ := spec.Locate(m); s == step {
+			held[c.holder.Worker]++
+		}
+	}
+	for id, k := range held {
+		if k >= st.PerWorker {
+			ids = append(ids, string(id))
+		}
+	}
+	return ids
+}
+
+// serves reports whether a worker runs tasks of a service; empty for any.
+func (w *workerView) serves(service string) bool {
+	return service == "" || slices.ContainsFunc(w.beat.Services, func(s ServiceLoad) bool { return s.Service == service })
+}
+
+// labelled reports whether a worker has a label; empty for any.
+func (w *workerView) labelled(label string) bool {
+	return label == "" || slices.Contains(w.beat.Labels, label)
+}
+
 // firstFit is the baseline that takes the first open worker with room.
 func (e *Entry) firstFit(need place.Need) (WorkerID, bool) {
 	for _, id := range e.workerIDs() {
@@ -202,7 +321,7 @@
 
 // noRoom says why a task waits, and parks one that no worker could ever hold.
 func (e *Entry) noRoom(j *jobView, n int) {
-	if e.index.Len() == 0 || e.index.Possible(j.row.Spec.Size) {
+	if e.index.Len() == 0 || e.index.Possible(j.row.Spec.Step(n).Size) {
 		j.waits[n] = ReasonRoom
 		j.never = time.Time{}
 		return
@@ -211,7 +330,7 @@
 	if j.never.IsZero() {
 		j.never = e.at.Now
 	}
-	if e.at.Now.Sub(j.never) > parkAfter {
+	if e.at.Now.Sub(j.never) > parkAfter && len(j.row.Spec.Steps) == 0 {
 		e.count("park", ReasonNever)
 		e.edit(j, parkEdit{n: n, reason: "no worker could ever hold it"})
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -155,6 +155,7 @@
 	Ends      []End
 	Config    uint64 // version in force at the agent
 	Leaving   bool
+	Labels    []string // of the worker
 	// Gone lists earlier incarnations that this one vouches are dead, as
 	// asked by BeatAnswer.Prior.
 	Gone []Incarnation
@@ -256,8 +257,17 @@
 	Size    Size
 	Urgent  bool
 	Input   string
+	// Step and Index place the task within its job.
+	Step, Index int
+	Saved       string        // the checkpoint to go on from; empty for none
+	Filler      bool          // see StepSpec
+	Lasting     bool          // see StepSpec
+	Target      time.Duration // see StepSpec
 }
 
+// Firm returns what the task takes for itself.
+func (o Order) Firm() Size { return firmSize(o.Size, o.Filler) }
+
 // AgentEvent is something that an agent's reducer learns.
 type AgentEvent interface{ agentEvent() }
 
@@ -269,6 +279,12 @@
 	Slots    int
 	Services []string
 	Tasks    []WorkerTask
+	// Draining says that the worker will leave and wants no new work.
+	Draining bool
+	// Rack and Labels are the worker's own word; an empty Rack leaves the one
+	// of the settings.
+	Rack   Rack
+	Labels []string
 }
 
 // WorkerTask is one task as its worker sees it.
@@ -283,6 +299,11 @@
 	End          End // with WorkerEnded
 	Started      time.Time
 	Checkpointed time.Time
+	Filler       bool // see StepSpec
+	Lasting      bool // see StepSpec
+	// Target and Tail are the objective of a lasting task's tail latency and
+	// what was measured of late; zero where there is none.
+	Target, Tail time.Duration
 }
 
 // WorkerState is the state of a task at its worker.
@@ -295,6 +316,15 @@
 	WorkerEnded   WorkerState = "ended"
 )
 
+// WorkerLeaving says that the worker has announced that it will leave.
+type WorkerLeaving struct{}
+
+// EntriesRead is the answer to a ReadEntries: the rows of entries.
+type EntriesRead struct {
+	View  table.View
+	Fault Fault
+}
+
 // BeatAnswered is an entry's answer to a beat. Sent is the beat's own.
 type BeatAnswered struct {
 	Entry  netip.AddrPort
@@ -345,7 +375,10 @@
 	Attempt Attempt
 	Started bool
 	Reason  string
-	Fault   Fault
+	// Again says that the refusal was no fault of the task's: it may be tried
+	// again.
+	Again bool
+	Fault Fault
 }
 
 // Controlled is the worker's answer to a Control.
@@ -367,15 +400,17 @@
 	Fault   Fault
 }
 
-func (Tick) agentEvent()         {}
-func (Inspected) agentEvent()    {}
-func (BeatAnswered) agentEvent() {}
-func (StartAsked) agentEvent()   {}
-func (StopAsked) agentEvent()    {}
-func (SettleAsked) agentEvent()  {}
-func (ServeAsked) agentEvent()   {}
-func (RevokeAsked) agentEvent()  {}
-func (Launched) agentEvent()     {}
-func (Controlled) agentEvent()   {}
-func (Called) agentEvent()       {}
-func (Leave) agentEvent()        {}
+func (Tick) agentEvent()          {}
+func (Inspected) agentEvent()     {}
+func (WorkerLeaving) agentEvent() {}
+func (EntriesRead) agentEvent()   {}
+func (BeatAnswered) agentEvent()  {}
+func (StartAsked) agentEvent()    {}
+func (StopAsked) agentEvent()     {}
+func (SettleAsked) agentEvent()   {}
+func (ServeAsked) agentEvent()    {}
+func (RevokeAsked) agentEvent()   {}
+func (Launched) agentEvent()      {}
+func (Controlled) agentEvent()    {}
+func (Called) agentEvent()        {}
+func (Leave) agentEvent()         {}
--- a/core/policy.go
+++ b/core/policy.go
@@ -23,6 +23,9 @@
 	InspectEvery time.Duration
 	// ReadEvery is the time between an entry's reads of the configuration.
 	ReadEvery time.Duration
+	// ShardEvery is the least time between two reads of a shard that is in
+	// memory; zero reads it with the configuration.
+	ShardEvery time.Duration
 	// Silent is how long an entry waits for a beat before it sends nothing
 	// new to a worker.
 	Silent time.Duration
@@ -63,6 +66,18 @@
 	// RampFor is how long a returned data centre takes to reach its full share.
 	RampFor time.Duration
 
+	// InspectWait is how long the worker may hold its answer back until one of
+	// its tasks ends; zero asks for it at once.
+	InspectWait time.Duration
+	// BootInc makes an incarnation follow from the worker's boot, for workers
+	// whose lists don't name the incarnation that started a task.
+	BootInc bool
+	// FindEntries makes an agent that hears from no entry look their rows up.
+	FindEntries bool
+	// KeepTasks leaves tasks running at a planned stop of an agent: the next
+	// process of the agent goes on with them.
+	KeepTasks bool
+
 	// Baselines to measure against; the zero values are the real policies.
 	Route       route.Policy // how a request's worker is chosen
 	FirstFit    bool         // the first worker with room gets a task
@@ -126,6 +141,13 @@
 // WithPermit sets Policy.Permit.
 func WithPermit(d time.Duration) Option { return func(p *Policy) { p.Permit = d } }
 
+// WithNamelessRuns sets what fits workers whose lists don't name the incarnation
+// that started a task: it follows from the worker's boot, and tasks go on while
+// the agent is stopped.
+func WithNamelessRuns() Option {
+	return func(p *Policy) { p.BootInc, p.KeepTasks = true, true }
+}
+
 func newPolicy(opts []Option) Policy {
 	p := DefaultPolicy()
 	for _, o := range opts {
--- a/core/rows.go
+++ b/core/rows.go
@@ -19,13 +19,15 @@
 
 	// KeyVersion is the row that every change of configuration raises.
 	KeyVersion = PrefixConfig + "version"
+	// KeyQueues is the row of all queues.
+	KeyQueues = PrefixConfig + "queues"
 )
 
 // Shards is the number of shards that jobs are spread over.
 const Shards = 32
 
 // MaxTasks is the largest number of tasks in one job.
-const MaxTasks = 256
+const MaxTasks = 1024
 
 // ServiceRow configures a service that callers send requests to.
 type ServiceRow struct {
@@ -63,6 +65,27 @@
 	Value float64 `cbor:"2,keyasint"`
 }
 
+// QueueRow configures a queue that callers submit jobs to.
+type QueueRow struct {
+	Name      string        `cbor:"1,keyasint"`
+	Host      string        `cbor:"2,keyasint,omitempty"` // empty for any
+	Prefix    string        `cbor:"3,keyasint"`           // of the paths that lead to it
+	Service   string        `cbor:"4,keyasint,omitempty"` // whose workers run its jobs
+	Priority  int           `cbor:"5,keyasint,omitempty"` // zero comes first
+	Attempts  int           `cbor:"6,keyasint,omitempty"` // how often a task may fail
+	Stretch   float64       `cbor:"7,keyasint,omitempty"`
+	Objective time.Duration `cbor:"8,keyasint,omitempty"`
+	Timeout   time.Duration `cbor:"9,keyasint,omitempty"` // of a call by a caller
+	// Tickets says that a worker starts the queue's tasks only with a ticket of
+	// an advisor.
+	Tickets bool `cbor:"10,keyasint,omitempty"`
+}
+
+// QueuesRow holds all queues, so that they change together.
+type QueuesRow struct {
+	Queues []QueueRow `cbor:"1,keyasint"`
+}
+
 // VersionRow counts the changes of configuration.
 type VersionRow struct {
 	N uint64 `cbor:"1,keyasint"`
@@ -74,6 +97,9 @@
 	ID   EntryID `cbor:"1,keyasint"`
 	Addr string  `cbor:"2,keyasint"` // of EntryService
 	Beat uint64  `cbor:"3,keyasint"`
+	// Pending counts the accepted jobs of the entry's shards of which no task
+	// has been claimed, by queue.
+	Pending map[string]int `cbor:"4,keyasint,omitempty"`
 }
 
 // FenceRow lists lives of a worker whose claims were or will be moved.
@@ -139,6 +165,10 @@
 	// By is the entry that made the claim, the only one to order its start.
 	By        EntryID `cbor:"8,keyasint,omitempty"`
 	Evictions uint32  `cbor:"7,keyasint,omitempty"`
+	// Failures counts the attempts that have failed.
+	Failures uint32 `cbor:"9,keyasint,omitempty"`
+	// Saved is the newest checkpoint, as its worker named it.
+	Saved string `cbor:"10,keyasint,omitempty"`
 }
 
 // JobSpec is what a job asks for.
@@ -152,6 +182,26 @@
 	// Once marks a job whose tasks are never run again once they may have
 	// started without a checkpoint to resume from.
 	Once bool `cbor:"7,keyasint,omitempty"`
+
+	// Steps are those of a job that came in by a queue; such a job has no
+	// Size and no Inputs of its own.
+	Steps []StepSpec `cbor:"8,keyasint,omitempty"`
+	// Input is what every task of a job with steps works on.
+	Input string `cbor:"9,keyasint,omitempty"`
+	// Queue names the queue that the job came in by, and Service the one
+	// whose workers run it; empty for any worker.
+	Queue   string `cbor:"10,keyasint,omitempty"`
+	Service string `cbor:"11,keyasint,omitempty"`
+	// Runs, above zero, is how often a periodic job runs.
+	Runs int `cbor:"16,keyasint,omitempty"`
+	// Priority orders jobs; zero comes first.
+	Priority int `cbor:"12,keyasint,omitempty"`
+	// Attempts is how often a task may fail; zero leaves that to policy.
+	Attempts int `cbor:"13,keyasint,omitempty"`
+	// Stretch times the job's longest chain, and Objective on top of that, is
+	// how long the job should take.
+	Stretch   float64       `cbor:"14,keyasint,omitempty"`
+	Objective time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
 // JobRow is a job with the states of its tasks.
@@ -164,6 +214,10 @@
 	// recorded it; zero before.
 	Ended time.Time `cbor:"6,keyasint,omitzero"`
 	Op    string    `cbor:"7,keyasint,omitempty"` // id of the command that submitted it
+
+	// stored says that the table holds the job, or will with the transaction
+	// that this copy is made for.
+	stored bool
 }
 
 // OpRow records the result of a command, written with its effects.
@@ -183,14 +237,22 @@
 func (TeamRow) record()    {}
 func (PolicyRow) record()  {}
 func (VersionRow) record() {}
+func (QueuesRow) record()  {}
 func (EntryRow) record()   {}
 func (FenceRow) record()   {}
 func (JobRow) record()     {}
 func (OpRow) record()      {}
 
 // Keys of the rows.
-func keyService(n string) string   { return PrefixConfig + "service/" + n }
-func keyDC(n DC) string            { return PrefixConfig + "dc/" + string(n) }
+func keyService(n string) string { return PrefixConfig + "service/" + n }
+func keyDC(n DC) string          { return PrefixConfig + "dc/" + string(n) }
+
+// KeyDC returns the key of a data centre's row.
+func KeyDC(n DC) string { return keyDC(n) }
+
+// KeyJob returns the key of a job's row.
+func KeyJob(id JobID) string { return keyJob(id) }
+
 func keyTeam(n Team) string        { return PrefixConfig + "team/" + string(n) }
 func keyPolicy(n string) string    { return PrefixConfig + "policy/" + n }
 func keyEntry(n EntryID) string    { return PrefixEntry + string(n) }
@@ -222,6 +284,10 @@
 		var r VersionRow
 		err := unmarshal(key, b, &r)
 		return r, err
+	case key == KeyQueues:
+		var r QueuesRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixConfig+"service/"):
 		var r ServiceRow
 		err := unmarshal(key, b, &r)
--- a/core/types.go
+++ b/core/types.go
@@ -98,6 +98,7 @@
 	Kind    EndKind
 	Output  string // of a task that is done
 	Reason  string
+	Saved   string // the newest checkpoint, where the worker names one
 }
 
 // Outcome is what became of a caller's request.
@@ -141,4 +142,7 @@
 	ReasonConfig      Reason = "config"      // the entry has no configuration yet
 	ReasonInvalid     Reason = "invalid"     // the endpoint found the request itself at fault
 	ReasonRevoked     Reason = "revoked"     // the caller or entry took it back
+	ReasonAffinity    Reason = "affinity"    // a step's tasks must stay apart
+	ReasonUnbuilt     Reason = "unbuilt"     // it asks for what jayloft does not do yet
+	ReasonOwner       Reason = "owner"       // the entry that owns the job could not be asked
 )
--- /dev/null
+++ b/internal/codec/ask.go
@@ -0,0 +1,62 @@
+package codec
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"jayloft/core"
+	"jayloft/wire"
+)
+
+// AskToWire converts a call about a job that another entry is to serve. It fails
+// only if the job can't be encoded.
+func AskToWire(a core.JobAsk, now time.Time) (*wire.JobRequest, error) {
+	spec, err := cbor.Marshal(a.Spec)
+	if err != nil {
+		return nil, fmt.Errorf("job %s: %w", a.Spec.ID, err)
+	}
+	return &wire.JobRequest{Verb: string(a.Verb), Spec: spec, LeftNs: int64(a.By.Sub(now))}, nil
+}
+
+// AskFromWire converts a call that another entry relays.
+func AskFromWire(m *wire.JobRequest, now time.Time) (core.JobAsk, error) {
+	a := core.JobAsk{
+		Verb: core.JobVerb(m.GetVerb()), Relayed: true, By: now.Add(time.Duration(m.GetLeftNs())),
+	}
+	if err := cbor.Unmarshal(m.GetSpec(), &a.Spec); err != nil {
+		return a, fmt.Errorf("job: spec: %w", err)
+	}
+	switch a.Verb {
+	case core.JobSubmit:
+		if text := a.Spec.CheckSteps(); text != "" {
+			return a, fmt.Errorf("job: %s", text)
+		}
+	case core.JobLook, core.JobStop, core.JobCount:
+	default:
+		return a, fmt.Errorf("job: unknown verb %q", a.Verb)
+	}
+	return a, nil
+}
+
+// JobAnswerToWire converts the answer to a relayed call.
+func JobAnswerToWire(a core.JobAnswer) *wire.JobResponse {
+	return &wire.JobResponse{
+		Outcome: string(a.Outcome), State: string(a.State), Pending: int32(a.Pending),
+		Reason: string(a.Reason), Text: a.Text, RetryAfterNs: int64(a.RetryAfter),
+	}
+}
+
+// JobAnswerFromWire converts the answer to a relayed call.
+func JobAnswerFromWire(m *wire.JobResponse) (core.JobAnswer, error) {
+	a := core.JobAnswer{
+		Outcome: core.JobOutcome(m.GetOutcome()), State: core.JobState(m.GetState()), Pending: int(m.GetPending()),
+		Reason: core.Reason(m.GetReason()), Text: m.GetText(), RetryAfter: time.Duration(m.GetRetryAfterNs()),
+	}
+	switch a.Outcome {
+	case core.JobTaken, core.JobRefused, core.JobUnknown, core.JobNoQueue, core.JobGone, core.JobInvalid:
+		return a, nil
+	}
+	return a, fmt.Errorf("job: unknown outcome %q", a.Outcome)
+}
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -30,6 +30,7 @@
 		Leaving:     b.Leaving,
 		Gone:        Strings[string](b.Gone),
 		Mix:         each(b.Mix, mixToWire),
+		Labels:      b.Labels,
 	}
 }
 
@@ -67,6 +68,7 @@
 		Leaving:   m.GetLeaving(),
 		Gone:      Strings[core.Incarnation](m.GetGone()),
 		Mix:       each(m.GetMix(), mixFromWire),
+		Labels:    m.GetLabels(),
 	}
 	return b, f.err("beat")
 }
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -79,6 +79,7 @@
 		Kind:    string(e.Kind),
 		Output:  e.Output,
 		Reason:  e.Reason,
+		Saved:   e.Saved,
 	}
 }
 
@@ -89,6 +90,7 @@
 		Kind:    core.EndKind(e.GetKind()),
 		Output:  e.GetOutput(),
 		Reason:  e.GetReason(),
+		Saved:   e.GetSaved(),
 	}
 }
 
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -31,7 +31,8 @@
 		Slots: 8, Services: []core.ServiceLoad{{Service: "s", Running: 1, Queued: 2, Mean: time.Second}},
 		Mix:     []core.ClassLoad{{Class: "c", Running: 4}},
 		Running: []core.Attempt{attempt},
-		Ends:    []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why"}},
+		Ends:    []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}},
+		Labels:  []string{"l"},
 		Config:  7, Leaving: true, Gone: []core.Incarnation{"g"},
 	}
 	wholly(t, b)
@@ -58,6 +59,7 @@
 	o := core.Order{
 		Attempt: attempt, Holder: core.Holder{Worker: "w", Inc: "i"}, Echo: sent,
 		Team: "t", Class: "c", Size: size, Urgent: true, Input: "in",
+		Step: 1, Index: 2, Saved: "p", Filler: true, Lasting: true, Target: time.Second,
 	}
 	wholly(t, o)
 	got, err := StartFromWire(StartToWire(o), "w")
@@ -156,6 +158,7 @@
 	order := core.Order{
 		Attempt: attempt, Holder: core.Holder{Worker: "w", Inc: "i"}, Echo: sent,
 		Team: "t", Class: "c", Size: size, Urgent: true, Input: "in",
+		Step: 1, Index: 2, Saved: "p", Filler: true, Lasting: true, Target: time.Second,
 	}
 	request := core.Request{ID: "r", Service: "s", Team: "t", Body: []byte("b"), Deadline: sent, Idempotent: true}
 	serve := core.Serve{Call: 1, Name: "n", Worker: "w", Addr: addr, Inc: "i", Run: "r", Request: request}
@@ -195,10 +198,12 @@
 func TestInspectedFromWire(t *testing.T) {
 	in := InspectedFromWire(&wire.InspectResponse{
 		Boot: "b", Capacity: SizeToWire(size), Slots: 8, Services: []string{"s"},
+		Draining: true, Rack: "r", Labels: []string{"l"},
 		Tasks: []*wire.WorkerTask{{
 			Attempt: AttemptToWire(attempt), Incarnation: "i", Class: "c", Size: SizeToWire(size),
 			Used: SizeToWire(size), Urgent: true, State: "ended", Started: 1, Checkpointed: 2,
-			End: EndToWire(core.End{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why"}),
+			Filler: true, Lasting: true, TargetNs: 1, TailNs: 2,
+			End: EndToWire(core.End{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}),
 		}},
 	})
 	in.Fault = core.FaultCut // not from the wire
--- a/internal/codec/order.go
+++ b/internal/codec/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"jayloft/core"
 	"jayloft/wire"
@@ -18,6 +19,12 @@
 		Size:        SizeToWire(o.Size),
 		Urgent:      o.Urgent,
 		Input:       o.Input,
+		Step:        int32(o.Step),
+		Index:       int32(o.Index),
+		Saved:       o.Saved,
+		Filler:      o.Filler,
+		Lasting:     o.Lasting,
+		TargetNs:    int64(o.Target),
 	}
 }
 
@@ -35,6 +42,12 @@
 		Size:    SizeFromWire(m.GetSize()),
 		Urgent:  m.GetUrgent(),
 		Input:   m.GetInput(),
+		Step:    int(m.GetStep()),
+		Index:   int(m.GetIndex()),
+		Saved:   m.GetSaved(),
+		Filler:  m.GetFiller(),
+		Lasting: m.GetLasting(),
+		Target:  time.Duration(m.GetTargetNs()),
 	}
 	return o, f.err("start")
 }
--- a/internal/codec/worker.go
+++ b/internal/codec/worker.go
@@ -1,6 +1,8 @@
 package codec
 
 import (
+	"time"
+
 	"jayloft/core"
 	"jayloft/wire"
 )
@@ -13,6 +15,9 @@
 		Slots:    int(m.GetSlots()),
 		Services: m.GetServices(),
 		Tasks:    each(m.GetTasks(), workerTaskFromWire),
+		Draining: m.GetDraining(),
+		Rack:     core.Rack(m.GetRack()),
+		Labels:   m.GetLabels(),
 	}
 }
 
@@ -28,6 +33,10 @@
 		End:          EndFromWire(t.GetEnd()),
 		Started:      Time(t.GetStarted()),
 		Checkpointed: Time(t.GetCheckpointed()),
+		Filler:       t.GetFiller(),
+		Lasting:      t.GetLasting(),
+		Target:       time.Duration(t.GetTargetNs()),
+		Tail:         time.Duration(t.GetTailNs()),
 	}
 }
 
--- a/io/agent.go
+++ b/io/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jayloft/core"
+	"jayloft/table"
 	"jayloft/wire"
 )
 
@@ -26,11 +27,10 @@
 	drive  *driver[core.AgentEvent, core.AgentEffect]
 	peers  *peers
 	run    runner
-	http   *http.Client // to the worker
-	worker wire.WorkerServiceClient
+	worker Worker
+	table  table.Table // nil unless entries are found by their rows
 
-	calls   chan struct{} // holds one element for each call to the worker
-	heard   atomic.Bool   // an entry has answered a beat
+	heard   atomic.Bool // an entry has answered a beat
 	tokens  tokens
 	starts  waits[core.Token, core.StartReply]
 	settles waits[core.Token, core.SettleReply]
@@ -39,21 +39,22 @@
 }
 
 // NewAgent returns an agent at the site beside the worker whose own interface
-// is at vm.
+// is at vm, unless WithWorker names another.
 func NewAgent(site core.AgentSite, vm netip.AddrPort, opts ...Option) *AgentServer {
 	o := newOptions(opts)
-	h := &http.Client{Transport: newPool(workerConns)}
 	s := &AgentServer{
 		site:   site,
 		meter:  newMeter(o.log),
 		peers:  newPeers(),
 		run:    newRunner(),
-		http:   h,
-		worker: wire.NewWorkerServiceClient(h, "http://"+vm.String(), clientOptions()...),
-		calls:  make(chan struct{}, workerCalls),
+		worker: o.worker,
+		table:  o.table,
+	}
+	if s.worker == nil {
+		s.worker = newRPCWorker(vm)
 	}
 	r := core.NewAgent(site, o.policy...)
-	s.drive = newDriver(s.meter, core.AgentEvent(core.Tick{}), r.Reduce, s.carry)
+	s.drive = newDriver(s.meter, o.now, core.AgentEvent(core.Tick{}), r.Reduce, s.carry)
 	s.meter.ready = s.heard.Load
 	return s
 }
@@ -78,9 +79,13 @@
 func (s *AgentServer) Close() {
 	s.drive.close()
 	s.peers.close()
-	s.http.CloseIdleConnections()
+	s.worker.Close()
 }
 
+// WorkerLeaves tells the agent that its worker will leave. Once it returns,
+// nothing new starts there.
+func (s *AgentServer) WorkerLeaves() { s.drive.post(core.WorkerLeaving{}) }
+
 // Metrics returns the handler of /metrics and /healthz.
 func (s *AgentServer) Metrics() http.Handler { return s.meter }
 
@@ -105,16 +110,18 @@
 	case core.RevokeReply:
 		s.revokes.done(eff.Token, eff)
 	case core.Call:
-		s.run.run(func() { s.call(eff) })
+		s.run.run(func() { s.drive.post(s.worker.Call(eff)) })
 	case core.SendBeat:
 		s.run.run(func() { s.beat(eff) })
 	case core.Inspect:
-		s.run.run(func() { s.inspect() })
+		s.run.run(func() { s.drive.post(s.worker.Inspect(eff)) })
 	case core.Launch:
-		s.run.run(func() { s.launch(eff) })
+		s.run.run(func() { s.drive.post(s.worker.Launch(eff)) })
+	case core.ReadEntries:
+		s.run.run(s.readEntries)
 	case core.Renew:
-		s.run.run(func() { s.renew(eff) })
+		s.run.run(func() { s.worker.Renew(eff) })
 	case core.Control:
-		s.run.run(func() { s.control(eff) })
+		s.run.run(func() { s.drive.post(s.worker.Control(eff)) })
 	}
 }
--- a/io/agentcall.go
+++ b/io/agentcall.go
@@ -32,62 +32,14 @@
 	}
 }
 
-// ask makes one call to the worker that ends by the deadline.
-func ask[Q, A any](s *AgentServer, by time.Time, req *Q,
-	f func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
-) (*A, core.Fault) {
-	if !time.Now().Before(by) {
-		return nil, core.FaultNotSent
+// readEntries reads the rows of entries from the table.
+func (s *AgentServer) readEntries() {
+	ev := core.EntriesRead{Fault: core.FaultNotSent}
+	if s.table != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+		defer cancel()
+		view, err := s.table.Changes(ctx, core.PrefixEntry, 0)
+		ev = core.EntriesRead{View: view, Fault: tableFault(err)}
 	}
-	select {
-	case s.calls <- struct{}{}:
-		defer func() { <-s.calls }()
-	default:
-		return nil, core.FaultNotSent
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), by)
-	defer cancel()
-	res, err := f(ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, faultOf(err)
-	}
-	return res.Msg, core.FaultNone
-}
-
-// inspect asks the worker for its account.
-func (s *AgentServer) inspect() {
-	m, fault := ask(s, time.Now().Add(workerTimeout), &wire.InspectRequest{}, s.worker.Inspect)
-	ev := codec.InspectedFromWire(m)
-	ev.Fault = fault
 	s.drive.post(ev)
 }
-
-// launch starts a task at the worker.
-func (s *AgentServer) launch(c core.Launch) {
-	m, fault := ask(s, time.Now().Add(workerTimeout), codec.LaunchToWire(c), s.worker.Launch)
-	s.drive.post(core.Launched{
-		Attempt: c.Order.Attempt, Started: m.GetStarted(), Reason: m.GetReason(), Fault: fault,
-	})
-}
-
-// renew moves the deadlines of tasks at the worker. The reducer learns from
-// the next Inspect what came of it.
-func (s *AgentServer) renew(c core.Renew) {
-	_, _ = ask(s, time.Now().Add(workerTimeout), codec.RenewToWire(c), s.worker.Renew)
-}
-
-// control changes a task at the worker.
-func (s *AgentServer) control(c core.Control) {
-	m, fault := ask(s, time.Now().Add(workerTimeout), codec.ControlToWire(c), s.worker.Control)
-	s.drive.post(core.Controlled{Attempt: c.Attempt, Verb: c.Verb, Done: m.GetDone(), Fault: fault})
-}
-
-// call runs a request in the endpoint.
-func (s *AgentServer) call(c core.Call) {
-	req := &wire.CallRequest{Id: string(c.ID), Service: c.Service, Body: c.Body}
-	m, fault := ask(s, c.Deadline, req, s.worker.Call)
-	s.drive.post(core.Called{
-		ID: c.ID, OK: m.GetOk(), Body: m.GetBody(), Text: m.GetReason(),
-		Invalid: m.GetInvalid(), Fault: fault,
-	})
-}
--- /dev/null
+++ b/io/ask.go
@@ -0,0 +1,66 @@
+package io
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"jayloft/core"
+	"jayloft/internal/codec"
+	"jayloft/wire"
+)
+
+// Job hands a caller's call about a job to the reducer and waits for its answer,
+// for so long as the caller does. The deadline of the call is left from now.
+func (s *EntryServer) Job(ctx context.Context, a core.JobAsk, left time.Duration) core.JobAnswer {
+	a.By = s.drive.now().Add(left)
+	ev := core.JobAsked{Token: s.tokens.next(), Ask: a}
+	c := s.jobs.add(ev.Token)
+	s.drive.post(ev)
+	// The reducer answers at the deadline; the margin is for a slow machine.
+	t := time.NewTimer(left + serveGrace)
+	defer t.Stop()
+	select {
+	case ans := <-c:
+		return ans
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	s.jobs.drop(ev.Token)
+	return core.JobAnswer{Outcome: core.JobUnknown, Reason: core.ReasonDeadline}
+}
+
+// Job serves a call that another entry relays.
+func (h entryRPC) Job(ctx context.Context, r *connect.Request[wire.JobRequest]) (*connect.Response[wire.JobResponse], error) {
+	a, err := codec.AskFromWire(r.Msg, time.Time{})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	ans := h.s.Job(ctx, a, time.Duration(r.Msg.GetLeftNs()))
+	return connect.NewResponse(codec.JobAnswerToWire(ans)), nil
+}
+
+// relay passes a call on to another entry.
+func (s *EntryServer) relay(c core.Relay) {
+	now := s.drive.now()
+	ev := core.RelayAnswered{Token: c.Token, Fault: core.FaultNotSent}
+	req, err := codec.AskToWire(c.Ask, now)
+	if err != nil {
+		s.meter.log.WithError(err).Warn("call not relayed")
+		s.drive.post(ev)
+		return
+	}
+	left := min(c.Ask.By.Sub(now), relayTimeout)
+	m, fault := call(s.peers, c.Addr, time.Now().Add(left), req,
+		func(p *peer, ctx context.Context, r *connect.Request[wire.JobRequest]) (*connect.Response[wire.JobResponse], error) {
+			return p.entry.Job(ctx, r)
+		})
+	ev.Fault = fault
+	if fault == core.FaultNone {
+		if ev.Answer, err = codec.JobAnswerFromWire(m); err != nil {
+			ev.Fault = s.foreign(err, c.Addr.String())
+		}
+	}
+	s.drive.post(ev)
+}
--- a/io/driver.go
+++ b/io/driver.go
@@ -16,7 +16,7 @@
 	carry  func(F) // must neither block nor call post
 	tick   E
 	meter  *meter
-	began  time.Time // that the reducer's clock counts from
+	now    Clock
 
 	mu     sync.Mutex
 	timer  *time.Timer
@@ -26,9 +26,9 @@
 	closed bool
 }
 
-func newDriver[E, F any](m *meter, tick E, reduce func(core.Stamp, E) []F, carry func(F)) *driver[E, F] {
+func newDriver[E, F any](m *meter, now Clock, tick E, reduce func(core.Stamp, E) []F, carry func(F)) *driver[E, F] {
 	return &driver[E, F]{
-		reduce: reduce, carry: carry, tick: tick, meter: m, began: time.Now(),
+		reduce: reduce, carry: carry, tick: tick, meter: m, now: now,
 		left: make(chan struct{}),
 	}
 }
@@ -68,10 +68,6 @@
 	}
 }
 
-// now returns the reducer's time. It counts from the start by the monotonic
-// clock, so that a step of the wall clock moves no lease and no deadline.
-func (d *driver[E, F]) now() time.Time { return d.began.Add(time.Since(d.began)) }
-
 // wake sets the timer anew: only the last wake counts.
 func (d *driver[E, F]) wake(now, at time.Time) {
 	d.wakeAt = at
--- a/io/driver_test.go
+++ b/io/driver_test.go
@@ -36,7 +36,7 @@
 func newSleeper(due ...time.Time) (*sleeper, *driver[core.EntryEvent, core.EntryEffect]) {
 	s := &sleeper{due: due}
 	m := newMeter(&log.Logger{Handler: discard.New(), Level: log.FatalLevel})
-	return s, newDriver(m, core.EntryEvent(core.Tick{}), s.Reduce, func(core.EntryEffect) {})
+	return s, newDriver(m, MonotonicClock(), core.EntryEvent(core.Tick{}), s.Reduce, func(core.EntryEffect) {})
 }
 
 func TestDriverWakes(t *testing.T) {
@@ -91,7 +91,7 @@
 			}
 			return nil
 		}
-		d := newDriver(m, core.EntryEvent(core.Tick{}), exits, func(core.EntryEffect) {})
+		d := newDriver(m, MonotonicClock(), core.EntryEvent(core.Tick{}), exits, func(core.EntryEffect) {})
 		assert.NilError(t, d.leave(t.Context(), core.Leave{}))
 
 		_, stays := newSleeper()
--- a/io/entry.go
+++ b/io/entry.go
@@ -15,6 +15,7 @@
 	tableTimeout  = 2 * time.Second
 	orderTimeout  = 2 * time.Second        // Start, Stop and Settle
 	hearTimeout   = time.Second            // Hear
+	relayTimeout  = time.Second            // Job: the caller's time is needed for asking elsewhere
 	serveGrace    = 250 * time.Millisecond // for an answer on its way at the deadline
 	commandWait   = 10 * time.Second       // until a command's outcome is called unknown
 	maxBackground = 1024                   // orders to agents and entries at once
@@ -35,6 +36,7 @@
 	beats      waits[core.Token, core.BeatAnswer]
 	heard      waits[core.Token, []core.WorkerID]
 	results    waits[core.Token, core.CommandResult]
+	jobs       waits[core.Token, core.JobAnswer]
 }
 
 // NewEntry returns an entry at the site that keeps its rows in t.
@@ -49,7 +51,7 @@
 		background: make(chan struct{}, maxBackground),
 	}
 	r := core.NewEntry(site, o.policy...)
-	s.drive = newDriver(s.meter, core.EntryEvent(core.Tick{}), r.Reduce, s.carry)
+	s.drive = newDriver(s.meter, o.now, core.EntryEvent(core.Tick{}), r.Reduce, s.carry)
 	s.meter.ready = func() bool { return s.drive.ask(r.Ready) }
 	return s
 }
@@ -99,6 +101,12 @@
 		s.heard.done(eff.Token, eff.Heard)
 	case core.CommandReply:
 		s.results.done(eff.Token, eff.Result)
+	case core.JobReply:
+		s.jobs.done(eff.Token, eff.Answer)
+	case core.Relay:
+		s.order(func() { s.relay(eff) }, func() core.EntryEvent {
+			return core.RelayAnswered{Token: eff.Token, Fault: core.FaultNotSent}
+		})
 	case core.Serve:
 		s.run.run(func() { s.serve(eff) })
 	case core.Revoke:
--- a/wire/jayloft.connect.go
+++ b/wire/jayloft.connect.go
@@ -52,6 +52,8 @@
 	EntryServiceBeatProcedure = "/jayloft.EntryService/Beat"
 	// EntryServiceHearProcedure is the fully-qualified name of the EntryService's Hear RPC.
 	EntryServiceHearProcedure = "/jayloft.EntryService/Hear"
+	// EntryServiceJobProcedure is the fully-qualified name of the EntryService's Job RPC.
+	EntryServiceJobProcedure = "/jayloft.EntryService/Job"
 	// OperatorServiceDoProcedure is the fully-qualified name of the OperatorService's Do RPC.
 	OperatorServiceDoProcedure = "/jayloft.OperatorService/Do"
 	// AgentServiceStartProcedure is the fully-qualified name of the AgentService's Start RPC.
@@ -98,6 +100,8 @@
 	Beat(context.Context, *connect.Request[BeatRequest]) (*connect.Response[BeatResponse], error)
 	// Hear asks which of the named workers this entry has heard lately.
 	Hear(context.Context, *connect.Request[HearRequest]) (*connect.Response[HearResponse], error)
+	// Job passes a caller's call on to the entry that owns the job.
+	Job(context.Context, *connect.Request[JobRequest]) (*connect.Response[JobResponse], error)
 }
 
 // NewEntryServiceClient constructs a client for the jayloft.EntryService service. By default, it
@@ -123,6 +127,12 @@
 			connect.WithSchema(entryServiceMethods.ByName("Hear")),
 			connect.WithClientOptions(opts...),
 		),
+		job: connect.NewClient[JobRequest, JobResponse](
+			httpClient,
+			baseURL+EntryServiceJobProcedure,
+			connect.WithSchema(entryServiceMethods.ByName("Job")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -130,6 +140,7 @@
 type entryServiceClient struct {
 	beat *connect.Client[BeatRequest, BeatResponse]
 	hear *connect.Client[HearRequest, HearResponse]
+	job  *connect.Client[JobRequest, JobResponse]
 }
 
 // Beat calls jayloft.EntryService.Beat.
@@ -142,12 +153,19 @@
 	return c.hear.CallUnary(ctx, req)
 }
 
+// Job calls jayloft.EntryService.Job.
+func (c *entryServiceClient) Job(ctx context.Context, req *connect.Request[JobRequest]) (*connect.Response[JobResponse], error) {
+	return c.job.CallUnary(ctx, req)
+}
+
 // EntryServiceHandler is an implementation of the jayloft.EntryService service.
 type EntryServiceHandler interface {
 	// Beat announces an agent and reports what runs on its VM.
 	Beat(context.Context, *connect.Request[BeatRequest]) (*connect.Response[BeatResponse], error)
 	// Hear asks which of the named workers this entry has heard lately.
 	Hear(context.Context, *connect.Request[HearRequest]) (*connect.Response[HearResponse], error)
+	// Job passes a caller's call on to the entry that owns the job.
+	Job(context.Context, *connect.Request[JobRequest]) (*connect.Response[JobResponse], error)
 }
 
 // NewEntryServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -169,12 +187,20 @@
 		connect.WithSchema(entryServiceMethods.ByName("Hear")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryServiceJobHandler := connect.NewUnaryHandler(
+		EntryServiceJobProcedure,
+		svc.Job,
+		connect.WithSchema(entryServiceMethods.ByName("Job")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jayloft.EntryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case EntryServiceBeatProcedure:
 			entryServiceBeatHandler.ServeHTTP(w, r)
 		case EntryServiceHearProcedure:
 			entryServiceHearHandler.ServeHTTP(w, r)
+		case EntryServiceJobProcedure:
+			entryServiceJobHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -192,6 +218,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jayloft.EntryService.Hear is not implemented"))
 }
 
+func (UnimplementedEntryServiceHandler) Job(context.Context, *connect.Request[JobRequest]) (*connect.Response[JobResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jayloft.EntryService.Job is not implemented"))
+}
+
 // OperatorServiceClient is a client for the jayloft.OperatorService service.
 type OperatorServiceClient interface {
 	// Do runs one statement of the query and command language.
