pace, place, core: fillers and lasting tasks apart, speed by the excess over the target

Ruled out: starts (half within 30 ms), the store, processor time of the roles. Change: lasting and short tasks share workers, fillers take the others first; an agent learns the part of its VM that fillers may take; speed follows the excess.

--- a/core/agent.go
+++ b/core/agent.go
@@ -49,6 +49,7 @@
 
 	serve serveState
 	pace  pace.Control // of the fillers
+	paced int          // their speed, in percent
 
 	leaving       bool
 	leaveBy       time.Time
@@ -81,6 +82,7 @@
 		growth:     map[string]growth{},
 		gone:       map[Incarnation]bool{},
 		peers:      map[netip.AddrPort]*beatPeer{},
+		paced:      pace.Full,
 	}
 	for _, addr := range site.Entries {
 		a.peers[addr] = &beatPeer{}
@@ -154,6 +156,9 @@
 	a.emit(Note{Text: text, Subject: subject, Detail: detail})
 }
 
+// tell adds a line to the log with fields, given as names and values.
+func (a *Agent) tell(text, subject string, pairs ...any) { a.emit(noteOf(text, subject, pairs)) }
+
 func (a *Agent) inspectDue() {
 	if a.inspecting || a.at.Now.Before(a.nextInspect) {
 		return
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -55,8 +55,12 @@
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
 		Config: a.config.rev, Leaving: a.leaving || out || a.fenced || a.draining || a.workerQuiet(),
 	}
+	b.Fillers = a.fillerRoom()
 	for _, t := range a.heldInOrder() {
 		b.Running = append(b.Running, t.order.Attempt)
+		if t.order.Target > 0 {
+			b.Serving++
+		}
 	}
 	b.Mix = a.mix()
 	for _, e := range a.ends {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -220,6 +220,8 @@
 		t.launched = false
 	case ev.Started:
 		t.started = true
+		a.tell("task started", ev.Attempt.String(), "step", t.order.Step, "index", t.order.Index,
+			"filler", t.order.Filler, "target", t.order.Target.String(), "size", t.order.Size.Millicores)
 		a.renewTask(t)
 		a.beatSoon() // an entry may want it to run slower
 	case ev.Again:
--- a/core/effect.go
+++ b/core/effect.go
@@ -118,9 +118,16 @@
 
 // Note is a line for the log; both reducers make it.
 type Note struct {
-	Text    string
-	Subject string
+	Text    string // names the event; docs/OPERATIONS.md lists them
+	Subject string // the id that it is about
 	Detail  string
+	Fields  []Field // what decided, and what came of it
+}
+
+// Field is one field of a Note.
+type Field struct {
+	Name  string
+	Value any
 }
 
 // Wake asks for a Tick at a time or earlier; both reducers make it.
--- a/core/entry.go
+++ b/core/entry.go
@@ -199,6 +199,18 @@
 	e.emit(Note{Text: text, Subject: subject, Detail: detail})
 }
 
+// tell adds a line to the log with fields, given as names and values.
+func (e *Entry) tell(text, subject string, pairs ...any) { e.emit(noteOf(text, subject, pairs)) }
+
+func noteOf(text, subject string, pairs []any) Note {
+	n := Note{Text: text, Subject: subject, Fields: make([]Field, 0, len(pairs)/2)}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		name, _ := pairs[i].(string)
+		n.Fields = append(n.Fields, Field{Name: name, Value: pairs[i+1]})
+	}
+	return n
+}
+
 // ready reports whether the entry has read the configuration.
 func (e *Entry) ready() bool { return e.round.done > 0 }
 
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -190,6 +190,28 @@
 	return all, batch
 }
 
+// use returns whether tasks with a target for their tail latency run on the
+// worker, or will, and whether they bear more fillers.
+func (w *workerView) use() place.Use {
+	serving, fillers := w.beat.Serving > 0, w.beat.Batch.Millicores
+	for _, c := range w.claims {
+		if c.holder.Inc != w.inc {
+			continue
+		}
+		serving = serving || c.target > 0
+		if !c.listed {
+			fillers += c.soft.Millicores
+		}
+	}
+	switch {
+	case !serving:
+		return place.Quiet
+	case fillers >= w.beat.Fillers:
+		return place.Crowded
+	}
+	return place.Serving
+}
+
 // usable reports whether a worker may be given new work, or why not.
 func (e *Entry) usable(w *workerView) (Reason, bool) {
 	if w.silent || w.inc == "" || w.beat.Sent.IsZero() {
@@ -222,6 +244,7 @@
 	e.index.Set(string(w.id), place.Worker{
 		DC: string(w.beat.DC), Rack: string(w.beat.Rack),
 		Capacity: w.beat.Capacity, Committed: all, Batch: batch,
+		Use:     w.use(),
 		Closed:  !ok || w.failures.quarantined(e.at.Now),
 		Penalty: w.failures.penalty() + e.disturbance(w),
 		Share:   e.ramp(w.beat.DC),
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -141,6 +141,8 @@
 	if ed.end.Kind == EndLost {
 		j.avoid[w.id] = e.at.Now.Add(avoidFor)
 	}
+	e.tell("task ended", ed.end.Attempt.String(), "kind", string(ed.end.Kind), "reason", ed.end.Reason,
+		"worker", string(ed.worker), "state", j.row.Tasks[ed.task()].State.String(), "job", string(j.row.State()))
 	w.failures.note(ed.end, e.at.Now)
 	e.indexWorker(w)
 }
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -35,13 +35,14 @@
 	once    bool
 	class   string
 
-	committed bool      // the table holds it
-	since     time.Time // when it was decided or loaded
-	echo      time.Time // for the start order
-	soft      Size      // the part of size that tasks placed first may take
-	listed    bool      // the agent has reported it
-	heard     time.Time // when last
-	asking    bool      // a start or settle is in flight
+	committed bool          // the table holds it
+	since     time.Time     // when it was decided or loaded
+	echo      time.Time     // for the start order
+	target    time.Duration // of a lasting task's tail latency
+	soft      Size          // the part of size that tasks placed first may take
+	listed    bool          // the agent has reported it
+	heard     time.Time     // when last
+	asking    bool          // a start or settle is in flight
 	stopSent  time.Time
 	losing    bool // a release is on its way
 	eased     bool // it runs at less than full speed
@@ -188,6 +189,7 @@
 	c := &claim{
 		attempt: Attempt{Task: TaskID{Job: spec.ID, N: n}, Number: number},
 		holder:  h, size: st.Size, urgent: spec.first(st), once: spec.Once, class: spec.Class, since: now,
+		target: st.Target,
 	}
 	switch {
 	case st.Filler:
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -181,6 +181,9 @@
 	number := j.row.Tasks[t.N].Attempt + 1
 	h := Holder{Worker: w.id, Inc: w.inc}
 	e.claim(j, j.newClaim(t.N, number, h, e.at.Now))
+	e.tell("task placed", Attempt{Task: t, Number: number}.String(), "worker", string(w.id), "inc", string(w.inc),
+		"free", w.beat.Capacity.Minus(w.beat.Committed).Millicores, "size", j.row.Spec.Step(t.N).Size.Millicores,
+		"heard", e.at.Now.Sub(w.heard).String(), "due", j.row.Due().Sub(e.at.Now).String())
 	e.edit(j, claimEdit{n: t.N, number: number, holder: h, dc: w.beat.DC, by: e.site.ID})
 	return true
 }
@@ -198,8 +201,8 @@
 	if e.pol.FirstFit {
 		return e.firstFit(need)
 	}
-	if st.Filler {
-		id, ok := e.index.Pick(need, seed)
+	if len(j.row.Spec.Steps) > 0 {
+		id, ok := e.pickApart(need, st, seed)
 		return WorkerID(id), ok
 	}
 	if !first {
@@ -210,12 +213,37 @@
 		return WorkerID(id), true
 	}
 	id, ok := e.index.PickReclaim(need, seed)
-	if ok && len(j.row.Spec.Steps) == 0 {
+	if ok {
 		e.count("preempt", ReasonRoom)
 	}
 	return WorkerID(id), ok
 }
 
+// pickApart keeps fillers apart from lasting tasks, whose users would feel them,
+// for as long as there is room: lasting tasks share few workers, short tasks join
+// them there, and fillers have the others first, and beside lasting tasks only
+// what those were seen to bear. It answers the load pattern of many
+// fillers beside a few lasting tasks, where a lasting task on each worker would
+// slow all fillers down.
+func (e *Entry) pickApart(need place.Need, st StepSpec, seed uint64) (string, bool) {
+	need.Spread = st.Filler
+	need.Where = place.OnlyServing
+	if st.Filler {
+		need.Where = place.OnlyQuiet
+	}
+	if id, ok := e.index.Pick(need, seed); ok {
+		return id, true
+	}
+	need.Where, need.Spread = place.Anywhere, true
+	if st.Filler {
+		need.Where = place.OnlyBearing
+	}
+	if id, ok := e.index.Pick(need, seed); ok || st.Filler {
+		return id, ok
+	}
+	return e.index.PickReclaim(need, seed)
+}
+
 // unfit returns the workers that a task of a queue's job must not go to: those
 // of other services, without its label, or with as many of its step's tasks
 // as may be on one.
--- a/core/event.go
+++ b/core/event.go
@@ -156,6 +156,8 @@
 	Config    uint64 // version in force at the agent
 	Leaving   bool
 	Labels    []string // of the worker
+	Serving   int      // tasks with a target for their tail latency
+	Fillers   int64    // thousandths of a core that fillers may take beside those
 	// Gone lists earlier incarnations that this one vouches are dead, as
 	// asked by BeatAnswer.Prior.
 	Gone []Incarnation
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -31,6 +31,8 @@
 		Gone:        Strings[string](b.Gone),
 		Mix:         each(b.Mix, mixToWire),
 		Labels:      b.Labels,
+		Serving:     int32(b.Serving),
+		Fillers:     b.Fillers,
 	}
 }
 
@@ -69,6 +71,8 @@
 		Gone:      Strings[core.Incarnation](m.GetGone()),
 		Mix:       each(m.GetMix(), mixFromWire),
 		Labels:    m.GetLabels(),
+		Serving:   int(m.GetServing()),
+		Fillers:   m.GetFillers(),
 	}
 	return b, f.err("beat")
 }
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -32,7 +32,7 @@
 		Mix:     []core.ClassLoad{{Class: "c", Running: 4}},
 		Running: []core.Attempt{attempt},
 		Ends:    []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}},
-		Labels:  []string{"l"},
+		Labels:  []string{"l"}, Serving: 1, Fillers: 2,
 		Config:  7, Leaving: true, Gone: []core.Incarnation{"g"},
 	}
 	wholly(t, b)
--- a/io/meter.go
+++ b/io/meter.go
@@ -37,7 +37,17 @@
 }
 
 func (m *meter) note(n core.Note) {
-	m.log.WithFields(log.Fields{"subject": n.Subject, "detail": n.Detail}).Info(n.Text)
+	fields := log.Fields{}
+	if n.Subject != "" {
+		fields["subject"] = n.Subject
+	}
+	if n.Detail != "" {
+		fields["detail"] = n.Detail
+	}
+	for _, f := range n.Fields {
+		fields[f.Name] = f.Value
+	}
+	m.log.WithFields(fields).Info(n.Text)
 }
 
 // ServeHTTP answers /metrics with all counters as JSON, and /healthz with 200
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -17,12 +17,14 @@
 	var now time.Time
 	var longest time.Duration
 	now = time.Unix(1000, 0)
-	percent = c.Percent(now)
+	c.Step(now, 0.5)
+	percent = c.Percent()
 	for i := range steps {
 		now = now.Add(500 * time.Millisecond)
 		l := tail(i, percent)
 		c.Observe(pace.Load{Tail: l, Target: target})
-		percent = c.Percent(now)
+		c.Step(now, 0.5)
+		percent = c.Percent()
 		if l > target {
 			missed += 500 * time.Millisecond
 		} else {
@@ -67,5 +69,30 @@
 func TestWithoutLastingTasks(t *testing.T) {
 	var c pace.Control
 	c.Observe(pace.Load{Tail: time.Second})
-	assert.Equal(t, c.Percent(time.Unix(1, 0)), pace.Full)
+	c.Step(time.Unix(1, 0), 0.5)
+	assert.Equal(t, c.Percent(), pace.Full)
+}
+
+// The part of the VM for fillers follows how the lasting tasks bear them.
+func TestLearnsTheShare(t *testing.T) {
+	var c pace.Control
+	now := time.Unix(1, 0)
+	first := c.Share()
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		c.Observe(pace.Load{Tail: 10 * time.Millisecond, Target: 100 * time.Millisecond})
+		c.Step(now, c.Share())
+	}
+	borne := c.Share()
+	assert.Assert(t, borne > first, "%v", borne)
+	now = now.Add(500 * time.Millisecond)
+	c.Observe(pace.Load{Tail: 110 * time.Millisecond, Target: 100 * time.Millisecond})
+	c.Step(now, borne)
+	assert.Assert(t, c.Share() < borne)
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		c.Observe(pace.Load{Tail: 10 * time.Millisecond, Target: 100 * time.Millisecond})
+		c.Step(now, 0)
+	}
+	assert.Assert(t, c.Share() < borne, "what is not used is not borne")
 }
--- a/place/index.go
+++ b/place/index.go
@@ -1,5 +1,16 @@
 package place
 
+// Use says whether a worker serves: whether it runs tasks with a target for their
+// tail latency.
+type Use uint8
+
+// The uses of a worker.
+const (
+	Quiet   Use = iota // it does not serve
+	Serving            // it serves, and bears more tasks that disturb
+	Crowded            // it serves, and bears no more of them
+)
+
 // Worker is what the index knows of one worker.
 type Worker struct {
 	// Capacity is all that the VM has, Committed what its tasks hold.
@@ -14,6 +25,8 @@
 	// Batch is the part of Committed that urgent work may take. Set reduces
 	// it to Committed where it is larger.
 	Batch Size
+	// Use says what a worker runs that others may disturb.
+	Use Use
 	// Closed workers are never chosen.
 	Closed bool
 	DC     string
@@ -76,18 +89,30 @@
 }
 
 // Workers with and without accelerators are kept apart, so that tasks which
-// need none leave the former alone while they can.
+// need none leave the former alone while they can; and so are those that serve,
+// so that tasks which would disturb there go elsewhere while they can.
 const (
 	poolPlain = iota
 	poolAccelerated
+	poolServing
+	poolServingAccelerated
+	poolCrowded
+	poolCrowdedAccelerated
 	pools
 )
 
-func poolOf(capacity Size) int8 {
-	if capacity.Accelerators > 0 {
-		return poolAccelerated
+func poolOf(w *Worker) int8 {
+	p := int8(poolPlain)
+	if w.Capacity.Accelerators > 0 {
+		p = poolAccelerated
 	}
-	return poolPlain
+	switch w.Use {
+	case Serving:
+		p += poolServing
+	case Crowded:
+		p += poolCrowded
+	}
+	return p
 }
 
 // dataCentre holds the open workers of one data centre.
@@ -97,6 +122,15 @@
 	committed Size // of open workers
 }
 
+// open returns the number of open workers.
+func (d *dataCentre) open() int {
+	n := 0
+	for _, m := range d.members {
+		n += len(m)
+	}
+	return n
+}
+
 // Set adds the worker or replaces what is known of it.
 func (x *Index) Set(id string, w Worker) {
 	x.init()
@@ -120,7 +154,7 @@
 	if !known || old.DC != w.DC || old.Rack != w.Rack {
 		to.dc, to.rack = x.place(w.DC, w.Rack)
 	}
-	to.pool = poolOf(w.Capacity)
+	to.pool = poolOf(&w)
 	if l.open && !w.Closed && l.dc == to.dc && l.pool == to.pool {
 		x.count(&old, l.dc, -1)
 		x.workers[s] = w
--- a/place/pick.go
+++ b/place/pick.go
@@ -13,10 +13,23 @@
 	Spread bool
 	// Avoid names workers that must not be chosen.
 	Avoid []string
+	// Where says which workers come into question.
+	Where Where
 	// Owner names the job for which Hold and Release keep the counts.
 	Owner string
 }
 
+// Where says which workers come into question for a task.
+type Where uint8
+
+// The workers that may come into question.
+const (
+	Anywhere    Where = iota // those that don't serve first
+	OnlyQuiet                // those that don't serve
+	OnlyServing              // those that serve
+	OnlyBearing              // those that serve and are not crowded
+)
+
 const (
 	samples = 8 // workers looked at in a data centre before the grid is searched
 
@@ -97,18 +110,37 @@
 	return int(hi)
 }
 
-// firstPool skips the workers that the need can't use.
-func (s *search) firstPool() int {
+// poolsFor holds the pools to search, by Where and by whether accelerators are
+// needed.
+var poolsFor = [...][2][]int{
+	Anywhere: {
+		{poolPlain, poolAccelerated, poolServing, poolServingAccelerated, poolCrowded, poolCrowdedAccelerated},
+		{poolAccelerated, poolServingAccelerated, poolCrowdedAccelerated},
+	},
+	OnlyQuiet: {{poolPlain, poolAccelerated}, {poolAccelerated}},
+	OnlyServing: {
+		{poolCrowded, poolCrowdedAccelerated, poolServing, poolServingAccelerated},
+		{poolCrowdedAccelerated, poolServingAccelerated},
+	},
+	OnlyBearing: {{poolServing, poolServingAccelerated}, {poolServingAccelerated}},
+}
+
+// pools returns the pools that the need can use, in the order of search.
+func (s *search) pools() []int {
+	accelerated := 0
 	if s.need.Size.Accelerators > 0 {
-		return poolAccelerated
+		accelerated = 1
 	}
-	return poolPlain
+	return poolsFor[s.need.Where][accelerated]
 }
 
 // dense searches the rows upwards from the need's own.
 func (s *search) dense() {
 	s.visits, s.limit = visitsInAll, enoughAny
-	for p := s.firstPool(); p < pools && s.best == none; p++ {
+	for _, p := range s.pools() {
+		if s.best != none {
+			break
+		}
 		g := &s.x.grids[s.view][p]
 		for used := from(g.used, s.cell.row); used != 0 && !s.ended(); used &= used - 1 {
 			s.row(&g.rows[bits.TrailingZeros64(used)], visitsPerTree)
@@ -131,7 +163,7 @@
 	clear(s.x.tried)
 	for d := s.nextDC(); d >= 0; d = s.nextDC() {
 		s.x.tried[d] = true
-		for p := s.firstPool(); p < pools; p++ {
+		for _, p := range s.pools() {
 			s.sample(s.x.dc[d].members[p])
 			if s.best != none {
 				return
@@ -139,7 +171,10 @@
 		}
 	}
 	s.visits, s.limit = visitsInAll, samples
-	for p := s.firstPool(); p < pools && s.best == none; p++ {
+	for _, p := range s.pools() {
+		if s.best != none {
+			break
+		}
 		g := &s.x.grids[s.view][p]
 		for used := from(g.used, s.cell.row); used != 0 && !s.ended(); {
 			top := bits.Len64(used) - 1
@@ -181,7 +216,7 @@
 			d -= len(x.dc)
 		}
 		c := &x.dc[d]
-		if x.tried[d] || len(c.members[poolPlain])+len(c.members[poolAccelerated]) == 0 {
+		if x.tried[d] || c.open() == 0 {
 			continue
 		}
 		cost := fraction(c.committed, c.capacity)
@@ -200,7 +235,7 @@
 func (s *search) complete() {
 	const unlimited = 1 << 60
 	s.visits, s.limit = unlimited, 1
-	for p := s.firstPool(); p < pools; p++ {
+	for _, p := range s.pools() {
 		g := &s.x.grids[s.view][p]
 		for used := from(g.used, s.cell.row); used != 0 && s.best == none; used &= used - 1 {
 			s.row(&g.rows[bits.TrailingZeros64(used)], unlimited)
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -135,7 +135,7 @@
 	for d := range x.dc {
 		assert.Equal(t, x.dc[d].committed, sums[d].committed)
 		assert.Equal(t, x.dc[d].capacity, sums[d].capacity)
-		assert.Equal(t, len(x.dc[d].members[poolPlain])+len(x.dc[d].members[poolAccelerated]), members[d])
+		assert.Equal(t, x.dc[d].open(), members[d])
 	}
 }
 
