core: a submission that another entry may have accepted is never refused

Ruled out: the owner's own withdrawal, which takes back only unsent submissions. Test: TestRelayedSubmissionIsNeverRefused failed first.

--- /dev/null
+++ b/core/ask_test.go
@@ -0,0 +1,171 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayloft/core"
+	"jayloft/table"
+)
+
+// askEntry is an entry with one queue that has read its configuration.
+type askEntry struct {
+	t   *testing.T
+	e   *core.Entry
+	now time.Time
+	out []core.EntryEffect // of the last event
+	rev uint64
+}
+
+const (
+	askQueue = "q"
+	askPath  = "/q/0123456789abcdef"
+	askJob   = core.JobID("0123456789abcdef")
+)
+
+// newAskEntry returns an entry whose table holds a queue, a data centre and the
+// rows of the other entries.
+func newAskEntry(t *testing.T, others ...core.EntryRow) *askEntry {
+	t.Helper()
+	a := &askEntry{
+		t: t, now: time.Unix(1_700_000_000, 0), rev: 10,
+		e: core.NewEntry(core.EntrySite{ID: "me"}),
+	}
+	a.post(core.Tick{})
+	config := []table.Row{
+		a.row(core.KeyVersion, core.VersionRow{N: 1}),
+		a.row(core.KeyDC("dc"), core.DCRow{Name: "dc"}),
+		a.row(core.KeyQueues, core.QueuesRow{Queues: []core.QueueRow{{
+			Name: askQueue, Prefix: "/q/", Service: "s", Attempts: 2, Stretch: 1,
+		}}}),
+	}
+	var entries []table.Row
+	for _, o := range others {
+		entries = append(entries, a.row(core.PrefixEntry+string(o.ID), o))
+	}
+	a.readAll(map[string][]table.Row{core.PrefixConfig: config, core.PrefixEntry: entries})
+	return a
+}
+
+func (a *askEntry) row(key string, rec core.Record) table.Row {
+	b, err := core.Encode(rec)
+	assert.NilError(a.t, err)
+	return table.Row{Key: key, Version: a.rev, Value: b}
+}
+
+func (a *askEntry) post(ev core.EntryEvent) {
+	a.out = append([]core.EntryEffect{}, a.e.Reduce(core.Stamp{Now: a.now}, ev)...)
+}
+
+// readAll answers the reads of the last event.
+func (a *askEntry) readAll(rows map[string][]table.Row) {
+	for _, eff := range a.out {
+		if r, ok := eff.(core.ReadChanges); ok {
+			a.post(core.ChangesAnswered{Token: r.Token, View: table.View{Rows: rows[r.Prefix], Revision: a.rev}})
+		}
+	}
+}
+
+// find returns the first effect of a type.
+func find[E core.EntryEffect](a *askEntry) (E, bool) {
+	for _, eff := range a.out {
+		if x, ok := eff.(E); ok {
+			return x, true
+		}
+	}
+	var zero E
+	return zero, false
+}
+
+func need[E core.EntryEffect](a *askEntry) E {
+	a.t.Helper()
+	x, ok := find[E](a)
+	assert.Assert(a.t, ok, "no %T among %T", x, a.out)
+	return x
+}
+
+func (a *askEntry) submit(steps ...core.StepSpec) {
+	if len(steps) == 0 {
+		steps = []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}
+	}
+	a.post(core.JobAsked{Token: 77, Ask: core.JobAsk{
+		Verb: core.JobSubmit, Path: askPath, Spec: core.JobSpec{Steps: steps}, By: a.now.Add(time.Second),
+	}})
+}
+
+// lose makes the table lose an answer, which opens the circuit.
+func (a *askEntry) lose() {
+	a.now = a.now.Add(600 * time.Millisecond)
+	a.post(core.Tick{})
+	for _, eff := range a.out {
+		if r, ok := eff.(core.ReadChanges); ok {
+			a.post(core.ChangesAnswered{Token: r.Token, Fault: core.FaultCut})
+		}
+	}
+}
+
+func TestSubmissionIsTakenOnceInTheTable(t *testing.T) {
+	a := newAskEntry(t)
+	a.submit()
+	_, early := find[core.JobReply](a)
+	assert.Assert(t, !early, "answered before the table holds the job")
+	commit := need[core.Commit](a)
+	a.post(core.CommitAnswered{Token: commit.Token, Result: table.Result{Committed: true, Revision: 20}})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobTaken)
+}
+
+func TestSubmissionWithAnOutageIsRefusedAtOnce(t *testing.T) {
+	a := newAskEntry(t)
+	a.lose()
+	a.submit()
+	ans := need[core.JobReply](a).Answer
+	assert.Equal(t, ans.Outcome, core.JobRefused)
+	assert.Assert(t, ans.RetryAfter > 0)
+	_, sent := find[core.Commit](a)
+	assert.Assert(t, !sent, "a refused job must never reach the table")
+}
+
+// A submission that was relayed without an answer may have been accepted, so it
+// must not be refused as never run, whatever stops this entry from serving it.
+func TestRelayedSubmissionIsNeverRefused(t *testing.T) {
+	others := []core.EntryRow{}
+	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		others = append(others, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Beat: 1})
+	}
+	a := newAskEntry(t, others...)
+	a.submit()
+	relay := need[core.Relay](a)
+	a.lose()
+	a.post(core.RelayAnswered{Token: relay.Token, Fault: core.FaultCut})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobUnknown)
+}
+
+// At the caller's deadline, a submission that may be in the table is unknown.
+func TestSubmissionAtItsDeadline(t *testing.T) {
+	a := newAskEntry(t)
+	a.submit()
+	commit := need[core.Commit](a)
+	a.post(core.CommitAnswered{Token: commit.Token, Fault: core.FaultCut})
+	a.now = a.now.Add(2 * time.Second)
+	a.post(core.Tick{})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobUnknown)
+}
+
+func TestQueueIsFoundByTheLongestPrefix(t *testing.T) {
+	a := newAskEntry(t)
+	a.post(core.JobAsked{Token: 1, Ask: core.JobAsk{Verb: core.JobSubmit, Path: "/other/1", By: a.now.Add(time.Second)}})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobNoQueue)
+	a.post(core.JobAsked{Token: 2, Ask: core.JobAsk{Verb: core.JobLook, Path: "/q/", By: a.now.Add(time.Second)}})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobTaken)
+}
+
+// Only a read shows that there is no such job.
+func TestUnknownJobIsGoneByARead(t *testing.T) {
+	a := newAskEntry(t)
+	a.post(core.JobAsked{Token: 2, Ask: core.JobAsk{Verb: core.JobLook, Path: askPath, By: a.now.Add(time.Second)}})
+	read := need[core.ReadRows](a)
+	a.post(core.RowsAnswered{Token: read.Token, View: table.View{Rows: []table.Row{{Key: read.Keys[0]}}}})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobGone)
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -19,6 +19,8 @@
 type ask struct {
 	token Token
 	JobAsk
+	// sent says that another entry may have accepted the submission.
+	sent bool
 }
 
 // waitRelay waits for another entry's answer to a call.
@@ -119,6 +121,7 @@
 		return
 	}
 	e.count("relay", ReasonOwner)
+	q.a.sent = ev.Fault == FaultCut
 	e.doAsk(q.a)
 }
 
@@ -260,6 +263,9 @@
 // answerAsk answers a call for good.
 func (e *Entry) answerAsk(a *ask, ans JobAnswer) {
 	delete(e.asks, a.token)
+	if a.sent && a.Verb == JobSubmit && ans.Outcome == JobRefused {
+		ans = JobAnswer{Outcome: JobUnknown, Reason: ans.Reason}
+	}
 	e.count("job."+string(a.Verb)+"."+string(ans.Outcome), ans.Reason)
 	if a.Verb == JobSubmit || a.Verb == JobStop {
 		e.tell("job "+string(a.Verb), string(a.Spec.ID), "outcome", string(ans.Outcome), "reason", string(ans.Reason),
