--- a/core/agent.go
+++ b/core/agent.go
@@ -105,6 +105,8 @@
 		a.inspected(ev)
 	case WorkerLeaving:
 		a.drain()
+	case WorkerGone:
+		a.workerGone()
 	case EntriesRead:
 		a.entriesRead(ev)
 	case BeatAnswered:
@@ -214,9 +216,24 @@
 	}
 	a.draining = true
 	a.note("draining", string(a.inc), "the worker will leave")
+	for _, t := range a.heldInOrder() {
+		if t.order.Lasting {
+			a.count("evict", ReasonLeaving)
+			a.stop(t, EndEvicted, "the worker will leave")
+		}
+	}
 	a.beatSoon()
 }
 
+// workerGone gives up what ran on a worker that has left.
+func (a *Agent) workerGone() {
+	a.drain()
+	a.note("worker gone", string(a.inc), "it has left")
+	for _, t := range a.heldInOrder() {
+		a.ended(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "its worker has left"})
+	}
+}
+
 // adopt takes over the tasks that an earlier agent process started, and its
 // incarnation. Where there are none, the agent joins as a new incarnation once
 // no launch of an earlier process can still be on its way. It reports whether
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -220,10 +220,7 @@
 	}
 	j := e.jobs[t.Task.Job]
 	if j == nil {
-		// The owner of the shard holds all of its jobs: this one has ended.
-		if sh := &e.shards[ShardOf(t.Task.Job)]; sh.owned && sh.loaded && e.at.Now.Sub(sh.loadedAt) > orphanAfter {
-			ans.Moved = append(ans.Moved, t)
-		}
+		e.strayHeard(w, t, ans)
 		return
 	}
 	if t.Task.N >= len(j.row.Tasks) {
@@ -265,6 +262,26 @@
 	e.edit(j, endEdit{end: end, worker: w.id})
 }
 
+// strayHeard takes a running attempt of a job that this entry owns but does not
+// know. The job may be new, from another entry that takes itself for the owner;
+// only a read shows that there is none.
+func (e *Entry) strayHeard(w *workerView, t Attempt, ans *BeatAnswer) {
+	if sh := &e.shards[ShardOf(t.Task.Job)]; !sh.owned || !sh.loaded {
+		return
+	}
+	o := w.orphan[t]
+	switch {
+	case o == nil:
+		w.orphan[t] = &orphanEnd{read: e.at.Now.Add(orphanAfter)}
+	case o.over:
+		ans.Moved = append(ans.Moved, t)
+		delete(w.orphan, t)
+	case !e.at.Now.Before(o.read):
+		o.read = e.at.Now.Add(orphanAfter)
+		e.emit(ReadRows{Token: e.expect(waitJob{w: w, end: End{Attempt: t}}), Keys: []string{keyJob(t.Task.Job)}})
+	}
+}
+
 // orphanEnd is an end of another entry's job that its owner has not recorded.
 type orphanEnd struct {
 	read time.Time // when the job's row is read next
@@ -319,6 +336,11 @@
 	}
 	row := &j.row.Tasks[t.Task.N]
 	o.over = row.Attempt > t.Number || (row.Attempt == t.Number && row.State != TaskClaimed)
+	if q.end.Kind == "" { // it runs: the job's row tells the rest
+		delete(q.w.orphan, t)
+		e.dropForeign(j)
+		return
+	}
 	if !o.over && row.Attempt == t.Number {
 		e.edit(j, endEdit{end: q.end, worker: q.w.id})
 	}
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -23,13 +23,12 @@
 
 // shardView is a shard of jobs.
 type shardView struct {
-	owner    EntryID // by the last look at the live entries
-	owned    bool
-	loaded   bool
-	loadedAt time.Time // when it was first read whole
-	since    uint64
-	reading  bool
-	next     time.Time // when a loaded shard is read again
+	owner   EntryID // by the last look at the live entries
+	owned   bool
+	loaded  bool
+	since   uint64
+	reading bool
+	next    time.Time // when a loaded shard is read again
 }
 
 // waitMember waits for the write of the own row.
@@ -256,9 +255,7 @@
 	if !sh.owned {
 		return
 	}
-	if !sh.loaded {
-		sh.loaded, sh.loadedAt = true, e.at.Now
-	}
+	sh.loaded = true
 	sh.since = max(sh.since, ev.View.Revision)
 	for _, r := range ev.View.Rows {
 		e.jobRow(r)
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -22,6 +22,9 @@
 	stopEvery = 2 * time.Second
 	// parkAfter is how long a task waits for a worker that could hold it.
 	parkAfter = time.Minute
+	// fillerPatience is how long a job may have nothing running to spare lasting
+	// tasks: half of what callers' rules allow a task whose turn has come.
+	fillerPatience = 1500 * time.Millisecond
 	// retryPlace is how long a queue without room waits if nothing changes.
 	retryPlace = 250 * time.Millisecond
 )
@@ -44,12 +47,13 @@
 	priority int
 	due      time.Time // of its job; zero without one
 	number   uint64    // order of arrival
+	since    time.Time // when it was added
 }
 
 // waiting returns a job's task as it waits in the queue.
 func (e *Entry) waiting(j *jobView, n int) waiting {
 	spec := &j.row.Spec
-	w := waiting{task: TaskID{Job: spec.ID, N: n}, first: spec.first(spec.Step(n)), priority: spec.Priority}
+	w := waiting{since: e.at.Now, task: TaskID{Job: spec.ID, N: n}, first: spec.first(spec.Step(n)), priority: spec.Priority}
 	if len(spec.Steps) > 0 {
 		w.due = j.row.Due()
 	}
@@ -130,7 +134,7 @@
 			left = append(left, w)
 			continue
 		}
-		if e.placeTask(t) {
+		if e.placeTask(w) {
 			placed++
 			e.queue.remove(t)
 			continue
@@ -161,7 +165,8 @@
 
 // placeTask chooses a worker for a task and decides its claim. It reports
 // whether the task need not stay in the queue.
-func (e *Entry) placeTask(t TaskID) bool {
+func (e *Entry) placeTask(q waiting) bool {
+	t := q.task
 	j := e.jobs[t.Job]
 	if j == nil || t.N >= len(j.row.Tasks) || j.row.Tasks[t.N].State != TaskWaiting || j.pending(t.N) {
 		return true
@@ -171,7 +176,7 @@
 		j.waits[t.N] = ReasonQuota
 		return false
 	}
-	id, ok := e.pick(j, t)
+	id, ok := e.pick(j, q)
 	if !ok {
 		e.noRoom(j, t.N)
 		return false
@@ -190,7 +195,8 @@
 
 // pick chooses the worker for a task: dense for batch, spread for urgent, and
 // for urgent work also where batch work can make room.
-func (e *Entry) pick(j *jobView, t TaskID) (WorkerID, bool) {
+func (e *Entry) pick(j *jobView, q waiting) (WorkerID, bool) {
+	t := q.task
 	st := j.row.Spec.Step(t.N)
 	first := j.row.Spec.first(st)
 	need := place.Need{
@@ -202,7 +208,8 @@
 		return e.firstFit(need)
 	}
 	if len(j.row.Spec.Steps) > 0 {
-		id, ok := e.pickApart(need, st, seed)
+		stuck := len(j.claims) == 0 && e.at.Now.Sub(q.since) > fillerPatience
+		id, ok := e.pickApart(need, st, stuck, seed)
 		return WorkerID(id), ok
 	}
 	if !first {
@@ -224,8 +231,9 @@
 // them there, and fillers have the others first, and beside lasting tasks only
 // what those were seen to bear. It answers the load pattern of many
 // fillers beside a few lasting tasks, where a lasting task on each worker would
-// slow all fillers down.
-func (e *Entry) pickApart(need place.Need, st StepSpec, seed uint64) (string, bool) {
+// slow all fillers down. A job of which nothing runs for long is stuck: then its
+// fillers go wherever there is room.
+func (e *Entry) pickApart(need place.Need, st StepSpec, stuck bool, seed uint64) (string, bool) {
 	need.Spread = st.Filler
 	need.Where = place.OnlyServing
 	if st.Filler {
@@ -235,7 +243,7 @@
 		return id, true
 	}
 	need.Where, need.Spread = place.Anywhere, true
-	if st.Filler {
+	if st.Filler && !stuck {
 		need.Where = place.OnlyBearing
 	}
 	if id, ok := e.index.Pick(need, seed); ok || st.Filler {
--- a/core/event.go
+++ b/core/event.go
@@ -321,6 +321,9 @@
 // WorkerLeaving says that the worker has announced that it will leave.
 type WorkerLeaving struct{}
 
+// WorkerGone says that the worker has left: nothing runs there any more.
+type WorkerGone struct{}
+
 // EntriesRead is the answer to a ReadEntries: the rows of entries.
 type EntriesRead struct {
 	View  table.View
@@ -405,6 +408,7 @@
 func (Tick) agentEvent()          {}
 func (Inspected) agentEvent()     {}
 func (WorkerLeaving) agentEvent() {}
+func (WorkerGone) agentEvent()    {}
 func (EntriesRead) agentEvent()   {}
 func (BeatAnswered) agentEvent()  {}
 func (StartAsked) agentEvent()    {}
--- a/io/agent.go
+++ b/io/agent.go
@@ -86,6 +86,9 @@
 // nothing new starts there.
 func (s *AgentServer) WorkerLeaves() { s.drive.post(core.WorkerLeaving{}) }
 
+// WorkerLeft tells the agent that its worker has left, with all that ran there.
+func (s *AgentServer) WorkerLeft() { s.drive.post(core.WorkerGone{}) }
+
 // Metrics returns the handler of /metrics and /healthz.
 func (s *AgentServer) Metrics() http.Handler { return s.meter }
 
