core: a start without an answer is settled by a stop

Ruled out: the store's lost answers; the log shows the end of the first run. Change: a stop first, and an account that was asked for after it; draining lasts as long as the worker's life.

--- a/core/agent.go
+++ b/core/agent.go
@@ -58,6 +58,7 @@
 	answeredAt    time.Time // when an entry last answered a beat
 	nextInspect   time.Time
 	inspecting    bool
+	inspectBegan  time.Time         // when the newest look at the worker began
 	inspectedAt   time.Time         // when the worker last gave its account
 	inspectFaults int               // looks in a row that failed
 	growth        map[string]growth // of batch tasks, by class
@@ -169,7 +170,7 @@
 }
 
 func (a *Agent) inspectNow() {
-	a.inspecting = true
+	a.inspecting, a.inspectBegan = true, a.at.Now
 	a.nextInspect = a.at.Now.Add(a.pol.InspectEvery)
 	if a.stopping() {
 		a.nextInspect = a.at.Now.Add(stopInspectEvery)
@@ -202,7 +203,6 @@
 	if ev.Draining {
 		a.drain()
 	}
-	a.draining = ev.Draining
 	if !a.ready && !a.adopt(ev.Tasks) {
 		return
 	}
@@ -309,6 +309,7 @@
 // rebooted forgets what the VM held before it was restarted under the agent.
 func (a *Agent) rebooted() {
 	clear(a.held)
+	a.draining = false
 	a.serve.init()
 	a.renew()
 	a.note("worker restarted", string(a.inc), "")
--- a/core/agentmatch.go
+++ b/core/agentmatch.go
@@ -96,11 +96,28 @@
 	case !t.launched:
 	case t.listed:
 		a.ended(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "vanished from its worker"})
+	case a.pol.StopLost:
+		a.settleStart(t)
 	case a.at.Now.After(t.deadline.Add(a.pol.Drift)):
 		a.ended(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "never seen at its worker"})
 	}
 }
 
+// settleStart settles a start that the worker does not list and that may still
+// be on its way there. A stop makes the worker refuse it from then on; an account
+// that was asked for after the stop shows whether it ran after all.
+func (a *Agent) settleStart(t *heldTask) {
+	overdue := a.at.Now.After(t.deadline.Add(a.pol.Drift))
+	switch {
+	case !t.stopped.IsZero() && a.inspectBegan.After(t.stopped):
+		a.ended(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "start unanswered, then stopped"})
+	case t.stopping == "" && (overdue || !t.cutAt.IsZero() && a.inspectBegan.After(t.cutAt)):
+		a.stop(t, EndEvicted, "start unanswered")
+	case t.stopping != "" && t.stopped.IsZero() && a.at.Now.Sub(t.stopSent) >= restopAfter:
+		a.stop(t, t.stopping, "again")
+	}
+}
+
 // workerSilent is how long the worker may give no account of itself until the
 // leases of its tasks are no longer renewed and new work goes elsewhere.
 const workerSilent = 2 * time.Second
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -8,10 +8,12 @@
 // heldTask is a task that the agent has admitted.
 type heldTask struct {
 	order    Order
-	peak     Size // largest usage seen
-	launched bool // the worker was told to start it
-	listed   bool // the worker has listed it
-	started  bool // the worker has confirmed the launch, or listed it
+	peak     Size      // largest usage seen
+	launched bool      // the worker was told to start it
+	listed   bool      // the worker has listed it
+	started  bool      // the worker has confirmed the launch, or listed it
+	cutAt    time.Time // when the launch's answer was given up on; zero if it came
+	stopped  time.Time // when the worker took a stop; zero if it has not
 	deadline time.Time
 	stopping EndKind
 	stopSent time.Time
@@ -216,6 +218,8 @@
 	switch {
 	case ev.Fault == FaultCut:
 		a.count("launch", ReasonCut)
+		a.tell("start unanswered", ev.Attempt.String())
+		t.cutAt = a.at.Now
 	case ev.Fault == FaultNotSent:
 		t.launched = false
 	case ev.Started:
@@ -279,6 +283,9 @@
 	if ev.Verb == VerbStop && ev.Fault == FaultNone && !a.inspecting {
 		a.inspectNow()
 	}
+	if t := a.held[ev.Attempt.Task]; ev.Verb == VerbStop && ev.Done && t != nil && t.order.Attempt == ev.Attempt {
+		t.stopped = a.at.Now
+	}
 	if ev.Verb == VerbCheckpoint && ev.Done {
 		if t, ok := a.held[ev.Attempt.Task]; ok && t.order.Attempt == ev.Attempt {
 			t.saved = a.at.Now
--- a/core/policy.go
+++ b/core/policy.go
@@ -74,6 +74,9 @@
 	BootInc bool
 	// FindEntries makes an agent that hears from no entry look their rows up.
 	FindEntries bool
+	// StopLost settles a start without an answer by a stop, for workers that may
+	// carry an order out long after it was given up on.
+	StopLost bool
 	// KeepTasks leaves tasks running at a planned stop of an agent: the next
 	// process of the agent goes on with them.
 	KeepTasks bool
@@ -142,10 +145,10 @@
 func WithPermit(d time.Duration) Option { return func(p *Policy) { p.Permit = d } }
 
 // WithNamelessRuns sets what fits workers whose lists don't name the incarnation
-// that started a task: it follows from the worker's boot, and tasks go on while
-// the agent is stopped.
+// that started a task: it follows from the worker's boot, tasks go on while the
+// agent is stopped, and a start without an answer is settled by a stop.
 func WithNamelessRuns() Option {
-	return func(p *Policy) { p.BootInc, p.KeepTasks = true, true }
+	return func(p *Policy) { p.BootInc, p.KeepTasks, p.StopLost = true, true, true }
 }
 
 func newPolicy(opts []Option) Policy {
