core: a submission that was sent is never withdrawn; cmd: SIGHUP reads the settings again

Change: only a job that never was in a transaction is withdrawn; SIGHUP checks the settings again and logs what comes of it.

--- a/cmd/jayloft/agent.go
+++ b/cmd/jayloft/agent.go
@@ -53,7 +53,7 @@
 		return subcommands.ExitUsageError
 	}
 	l := newLog(file).WithField("worker", string(file.Agent.Worker))
-	return run(l, file.Agent.Grace,
+	return run(l, c.config, file.Agent.Grace,
 		fx.Supply(file, *file.Agent),
 		fx.Provide(func() log.Interface { return l }, io.BootClock, newWorker, newAgent, agentProcess))
 }
--- a/cmd/jayloft/entry.go
+++ b/cmd/jayloft/entry.go
@@ -54,7 +54,7 @@
 		return subcommands.ExitUsageError
 	}
 	l := newLog(file).WithField("entry", file.Entry.Name)
-	return run(l, file.Entry.Grace,
+	return run(l, c.config, file.Entry.Grace,
 		fx.Supply(file, *file.Entry),
 		fx.Provide(func() log.Interface { return l }, newTable, newEntry, entryProcess))
 }
--- a/cmd/jayloft/process.go
+++ b/cmd/jayloft/process.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -107,8 +109,29 @@
 	lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
 }
 
+// awaitEnd waits for the signal that ends a process. At each SIGHUP it reads the
+// settings again: what is wrong with them is logged, and so is that changes take
+// a restart, since the other processes rely on the numbers of policy.
+func awaitEnd(l log.Interface, path string, ended <-chan fx.ShutdownSignal, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-reload:
+			if _, err := config.Load(path); err != nil {
+				l.WithError(err).Error("settings changed and can't be used; the old ones stay in force")
+				continue
+			}
+			l.Info("settings read again; changes take effect at the next start")
+		}
+	}
+}
+
 // run starts an application, waits for SIGTERM or SIGINT and stops it.
-func run(l log.Interface, grace time.Duration, opts ...fx.Option) subcommands.ExitStatus {
+func run(l log.Interface, path string, grace time.Duration, opts ...fx.Option) subcommands.ExitStatus {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	opts = append(opts, fx.NopLogger, fx.Invoke(register),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(grace+closeMargin))
 	app := fx.New(opts...)
@@ -122,7 +145,7 @@
 		l.WithError(err).Error("can't start")
 		return subcommands.ExitFailure
 	}
-	<-app.Wait()
+	awaitEnd(l, path, app.Wait(), reload)
 	ctx, cancel = context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(ctx); err != nil {
--- a/cmd/jayloft/stand.go
+++ b/cmd/jayloft/stand.go
@@ -74,18 +74,18 @@
 		fmt.Fprintf(os.Stderr, "%s: there is no [stand]\n", c.config)
 		return subcommands.ExitUsageError
 	}
-	return runStand(file, c.put)
+	return runStand(file, c.config, c.put)
 }
 
 // runStand runs what the settings list until the process is told to stop.
-func runStand(f config.File, put string) subcommands.ExitStatus {
+func runStand(f config.File, path, put string) subcommands.ExitStatus {
 	s, err := newStandIns(f.Stand, put)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
 	l := newLog(f)
-	return run(l, standGrace, fx.Provide(func() *process {
+	return run(l, path, standGrace, fx.Provide(func() *process {
 		return &process{server: s, sites: s.sites, grace: standGrace, log: l}
 	}))
 }
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -169,3 +169,30 @@
 	a.post(core.RowsAnswered{Token: read.Token, View: table.View{Rows: []table.Row{{Key: read.Keys[0]}}}})
 	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobGone)
 }
+
+// The first copy of a transaction may take effect long after its answer was lost,
+// also after a later copy has met a conflict: the submission stays unknown.
+func TestSubmissionThatWasSentIsNeverWithdrawn(t *testing.T) {
+	a := newAskEntry(t)
+	a.submit()
+	commit := need[core.Commit](a)
+	a.post(core.CommitAnswered{Token: commit.Token, Fault: core.FaultCut})
+	var again core.Commit
+	for range 20 {
+		a.now = a.now.Add(40 * time.Millisecond)
+		a.post(core.Tick{})
+		if c, ok := find[core.Commit](a); ok {
+			again = c
+			break
+		}
+	}
+	assert.Assert(t, again.Token != 0, "the transaction is not sent again")
+	fence := a.row(core.PrefixFence+"w", core.FenceRow{Worker: "w"})
+	a.post(core.CommitAnswered{Token: again.Token, Result: table.Result{Conflicts: []table.Row{fence}}})
+	if c, ok := find[core.Commit](a); ok {
+		a.post(core.CommitAnswered{Token: c.Token, Fault: core.FaultNotSent})
+	}
+	a.now = a.now.Add(2 * time.Second)
+	a.post(core.Tick{})
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobUnknown)
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -293,7 +293,7 @@
 // withdraw takes a submission back of which nothing was sent to the table.
 func (e *Entry) withdraw(a *ask) bool {
 	j := e.jobs[a.Spec.ID]
-	if j == nil || j.row.stored || len(j.flying) > 0 || !hasEdit(j.edits, createEdit{}) {
+	if j == nil || j.row.stored || j.flown || !hasEdit(j.edits, createEdit{}) {
 		return false
 	}
 	j.edits = nil
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -139,6 +139,7 @@
 		switch ed.apply(&row, &e.pol) {
 		case editMade:
 			j.flying = append(j.flying, ed)
+			j.flown = true
 			e.addConds(j, ed, conds)
 		case editDone:
 			e.settled(j, ed)
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -18,6 +18,9 @@
 	edits  []edit // to be written
 	flying []edit // in the transaction that is in flight
 	dirty  bool   // listed in the group's queue
+	// flown says that a transaction with the job's first row was sent. It may
+	// take effect long after its answer was given up on.
+	flown bool
 
 	claims map[int]*claim // by task, decided or committed
 
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -33,7 +33,7 @@
 		Running: []core.Attempt{attempt},
 		Ends:    []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}},
 		Labels:  []string{"l"}, Serving: 1, Fillers: 2,
-		Config:  7, Leaving: true, Gone: []core.Incarnation{"g"},
+		Config: 7, Leaving: true, Gone: []core.Incarnation{"g"},
 	}
 	wholly(t, b)
 	got, err := BeatFromWire(BeatToWire(b))
