--- a/cmd/jayloft/process.go
+++ b/cmd/jayloft/process.go
@@ -118,6 +118,10 @@
 		case <-ended:
 			return
 		case <-reload:
+			if path == "" {
+				l.Info("there are no settings to read again")
+				continue
+			}
 			if _, err := config.Load(path); err != nil {
 				l.WithError(err).Error("settings changed and can't be used; the old ones stay in force")
 				continue
--- a/cmd/jayloft/stand.go
+++ b/cmd/jayloft/stand.go
@@ -221,7 +221,7 @@
 		fmt.Fprintln(os.Stderr, "-addr:", err)
 		return subcommands.ExitUsageError
 	}
-	return runStand(flagFile(&config.Stand{Platform: addr}), c.put)
+	return runStand(flagFile(&config.Stand{Platform: addr}), "", c.put)
 }
 
 // flagFile returns settings that were given as flags.
@@ -270,7 +270,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	return runStand(flagFile(cfg), "")
+	return runStand(flagFile(cfg), "", "")
 }
 
 // settings returns the flags as settings, or all that is wrong with them.
