press, pace, place: fillers slowed and placed by what each pair of images was seen to do

Ruled out: too few processors: lasting tasks reserve 281 cores and use about half. Change: package press learns each pair from the beats; agents slow only fillers that press on an endangered image; entries place fillers beside lasting tasks that are likely to bear them, on what lasting tasks leave unused (place.PickSlack).

--- a/core/agent.go
+++ b/core/agent.go
@@ -49,7 +49,10 @@
 
 	serve serveState
 	pace  pace.Control // of the fillers
-	paced int          // their speed, in percent
+	press []ImagePress // of their images, as an entry has learnt it
+	// fillerMix holds the fillers' processors at their speeds, in thousandths of
+	// a core, smoothed, by image.
+	fillerMix map[string]float64
 
 	leaving       bool
 	leaveBy       time.Time
@@ -83,7 +86,7 @@
 		growth:     map[string]growth{},
 		gone:       map[Incarnation]bool{},
 		peers:      map[netip.AddrPort]*beatPeer{},
-		paced:      pace.Full,
+		fillerMix:  map[string]float64{},
 	}
 	for _, addr := range site.Entries {
 		a.peers[addr] = &beatPeer{}
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -55,12 +55,15 @@
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
 		Config: a.config.rev, Leaving: a.leaving || out || a.fenced || a.draining || a.workerQuiet(),
 	}
-	b.Fillers = a.fillerRoom()
+	b.Tails, b.Fillers = a.tails(), a.reportedMix()
 	for _, t := range a.heldInOrder() {
 		b.Running = append(b.Running, t.order.Attempt)
 		if t.order.Target > 0 {
 			b.Serving++
 		}
+		if t.order.Lasting {
+			b.Lasting += t.order.Size.Millicores
+		}
 	}
 	b.Mix = a.mix()
 	for _, e := range a.ends {
@@ -71,18 +74,37 @@
 	return b
 }
 
+// tails returns the worst tails of the lasting tasks, by image.
+func (a *Agent) tails() []ImageTail {
+	worst := a.pace.Worst()
+	var ts []ImageTail
+	for _, image := range slices.Sorted(maps.Keys(worst)) {
+		ts = append(ts, ImageTail{Image: image, Worst: worst[image]})
+	}
+	return ts
+}
+
+// reportedMix returns the smoothed fillers, by image.
+func (a *Agent) reportedMix() []FillerLoad {
+	var ls []FillerLoad
+	for _, image := range slices.Sorted(maps.Keys(a.fillerMix)) {
+		ls = append(ls, FillerLoad{Image: image, Millicores: int64(a.fillerMix[image])})
+	}
+	return ls
+}
+
 // mix counts the batch tasks by class.
 func (a *Agent) mix() []ClassLoad {
-	n := map[string]int{}
+	n := map[string]ClassLoad{}
 	for _, t := range a.held {
 		if !t.order.Urgent && t.started {
-			n[t.order.Class]++
+			c := n[t.order.Class]
+			c.Class = t.order.Class
+			c.Running++
+			n[t.order.Class] = c
 		}
 	}
-	mix := make([]ClassLoad, 0, len(n))
-	for class, running := range n {
-		mix = append(mix, ClassLoad{Class: class, Running: running})
-	}
+	mix := slices.Collect(maps.Values(n))
 	sort.Slice(mix, func(i, j int) bool { return mix[i].Class < mix[j].Class })
 	return mix
 }
@@ -120,6 +142,9 @@
 		a.recorded(t)
 	}
 	a.ease(ans.Ease)
+	if len(ans.Press) > 0 {
+		a.press = ans.Press
+	}
 	if ans.Checkpoint > 0 {
 		a.pol.CheckpointEvery = ans.Checkpoint
 	}
--- a/core/entry.go
+++ b/core/entry.go
@@ -6,6 +6,7 @@
 	"jayloft/limit"
 	"jayloft/noise"
 	"jayloft/place"
+	"jayloft/press"
 	"jayloft/table"
 )
 
@@ -56,6 +57,7 @@
 	retryShare, hedgeShare float64
 	recent                 recentLog
 	noise                  noise.Model
+	press                  press.Learner // of fillers on lasting tasks
 
 	commands map[string]*command // by id, changes only
 	asks     map[Token]*ask      // callers' calls about jobs, by the call's token
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -134,6 +134,7 @@
 		e.endHeard(w, end, ans)
 	}
 	e.observe(w, ans)
+	e.observePress(w, ans)
 	e.indexWorker(w)
 	e.routeWorker(w)
 }
@@ -190,26 +191,33 @@
 	return all, batch
 }
 
+// lastingIdle is the part of its processors that a lasting task leaves unused:
+// it declares them for its users' peaks.
+const lastingIdle = 0.5
+
+// slack returns what the lasting tasks on a worker are likely to leave unused.
+func (w *workerView) slack() Size {
+	lasting := w.beat.Lasting
+	for _, c := range w.claims {
+		if c.lasting && c.holder.Inc == w.inc && !c.listed {
+			lasting += c.size.Millicores
+		}
+	}
+	return Size{Millicores: int64(float64(lasting) * lastingIdle)}
+}
+
 // use returns whether tasks with a target for their tail latency run on the
-// worker, or will, and whether they bear more fillers.
+// worker, or will.
 func (w *workerView) use() place.Use {
-	serving, fillers := w.beat.Serving > 0, w.beat.Batch.Millicores
+	if w.beat.Serving > 0 {
+		return place.Serving
+	}
 	for _, c := range w.claims {
-		if c.holder.Inc != w.inc {
-			continue
-		}
-		serving = serving || c.target > 0
-		if !c.listed {
-			fillers += c.soft.Millicores
+		if c.target > 0 && c.holder.Inc == w.inc {
+			return place.Serving
 		}
 	}
-	switch {
-	case !serving:
-		return place.Quiet
-	case fillers >= w.beat.Fillers:
-		return place.Crowded
-	}
-	return place.Serving
+	return place.Quiet
 }
 
 // usable reports whether a worker may be given new work, or why not.
@@ -245,6 +253,7 @@
 		DC: string(w.beat.DC), Rack: string(w.beat.Rack),
 		Capacity: w.beat.Capacity, Committed: all, Batch: batch,
 		Use:     w.use(),
+		Slack:   w.slack(),
 		Closed:  !ok || w.failures.quarantined(e.at.Now),
 		Penalty: w.failures.penalty() + e.disturbance(w),
 		Share:   e.ramp(w.beat.DC),
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -29,7 +29,7 @@
 	st := spec.Step(n)
 	step, index := spec.Locate(n)
 	return Order{
-		Attempt: c.attempt, Holder: c.holder, Echo: c.echo, Team: spec.Team, Class: spec.Class,
+		Attempt: c.attempt, Holder: c.holder, Echo: c.echo, Team: spec.Team, Class: spec.class(st),
 		Size: st.Size, Urgent: c.urgent, Input: spec.input(n),
 		Step: step, Index: index, Saved: j.row.Tasks[n].Saved,
 		Filler: st.Filler, Lasting: st.Lasting, Target: st.Target,
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -38,9 +38,10 @@
 	once    bool
 	class   string
 
-	committed bool          // the table holds it
-	since     time.Time     // when it was decided or loaded
-	echo      time.Time     // for the start order
+	committed bool      // the table holds it
+	since     time.Time // when it was decided or loaded
+	echo      time.Time // for the start order
+	lasting   bool
 	target    time.Duration // of a lasting task's tail latency
 	soft      Size          // the part of size that tasks placed first may take
 	listed    bool          // the agent has reported it
@@ -191,8 +192,8 @@
 	st := spec.Step(n)
 	c := &claim{
 		attempt: Attempt{Task: TaskID{Job: spec.ID, N: n}, Number: number},
-		holder:  h, size: st.Size, urgent: spec.first(st), once: spec.Once, class: spec.Class, since: now,
-		target: st.Target,
+		holder:  h, size: st.Size, urgent: spec.first(st), once: spec.Once, class: spec.class(st), since: now,
+		lasting: st.Lasting, target: st.Target,
 	}
 	switch {
 	case st.Filler:
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -239,15 +239,15 @@
 	if st.Filler {
 		need.Where = place.OnlyQuiet
 	}
+	if st.Filler {
+		return e.pickFiller(need, st.Image, stuck, seed)
+	}
 	if id, ok := e.index.Pick(need, seed); ok {
 		return id, true
 	}
 	need.Where, need.Spread = place.Anywhere, true
-	if st.Filler && !stuck {
-		need.Where = place.OnlyBearing
-	}
-	if id, ok := e.index.Pick(need, seed); ok || st.Filler {
-		return id, ok
+	if id, ok := e.index.Pick(need, seed); ok {
+		return id, true
 	}
 	return e.index.PickReclaim(need, seed)
 }
--- a/core/event.go
+++ b/core/event.go
@@ -157,7 +157,9 @@
 	Leaving   bool
 	Labels    []string // of the worker
 	Serving   int      // tasks with a target for their tail latency
-	Fillers   int64    // thousandths of a core that fillers may take beside those
+	Lasting   int64    // thousandths of a core that lasting tasks hold
+	Tails     []ImageTail
+	Fillers   []FillerLoad
 	// Gone lists earlier incarnations that this one vouches are dead, as
 	// asked by BeatAnswer.Prior.
 	Gone []Incarnation
@@ -178,6 +180,27 @@
 	Running int
 }
 
+// ImageTail is the worst tail of a VM's lasting tasks of one image of late, as a
+// part of its target.
+type ImageTail struct {
+	Image string
+	Worst float64
+}
+
+// FillerLoad is what a VM's fillers of one image take of the processors at their
+// speeds, in thousandths of a core, smoothed over the time that tails cover.
+type FillerLoad struct {
+	Image      string
+	Millicores int64
+}
+
+// ImagePress is how hard fillers of one image press on lasting tasks of another,
+// see package press.
+type ImagePress struct {
+	Lasting, Filler string
+	Press           float64
+}
+
 // Ease sets the speed of a task that disturbs a service.
 type Ease struct {
 	Attempt Attempt
@@ -198,6 +221,8 @@
 	Moved    []Attempt   // attempts whose claim is no longer theirs
 	Entries  []netip.AddrPort
 	Ease     []Ease
+	// Press holds what is known of the VM's lasting tasks and fillers.
+	Press []ImagePress
 	// Checkpoint is the time between checkpoints of a task.
 	Checkpoint time.Duration
 	// Prior is another incarnation of the same worker that the entry knows
--- a/core/steps.go
+++ b/core/steps.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // MaxSteps is the largest number of steps in one job.
 const MaxSteps = 64
@@ -107,6 +110,10 @@
 	return s.Input
 }
 
+// class returns what tells tasks of the step apart from others: what they run,
+// where that is known.
+func (s *JobSpec) class(st StepSpec) string { return cmp.Or(st.Image, s.Class) }
+
 // first returns whether tasks of the step are placed before batch work, on the
 // room that batch work and fillers may have to give back.
 func (s *JobSpec) first(st StepSpec) bool {
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -32,7 +32,9 @@
 		Mix:         each(b.Mix, mixToWire),
 		Labels:      b.Labels,
 		Serving:     int32(b.Serving),
-		Fillers:     b.Fillers,
+		Tails:       each(b.Tails, tailToWire),
+		Fillers:     each(b.Fillers, fillerToWire),
+		Lasting:     b.Lasting,
 	}
 }
 
@@ -72,7 +74,9 @@
 		Mix:       each(m.GetMix(), mixFromWire),
 		Labels:    m.GetLabels(),
 		Serving:   int(m.GetServing()),
-		Fillers:   m.GetFillers(),
+		Tails:     each(m.GetTails(), tailFromWire),
+		Fillers:   each(m.GetFillers(), fillerFromWire),
+		Lasting:   m.GetLasting(),
 	}
 	return b, f.err("beat")
 }
@@ -108,6 +112,30 @@
 	return core.Ease{Attempt: AttemptFromWire(e.GetAttempt()), Percent: int(e.GetPercent())}
 }
 
+func tailToWire(t core.ImageTail) *wire.ImageTail {
+	return &wire.ImageTail{Image: t.Image, Worst: t.Worst}
+}
+
+func tailFromWire(t *wire.ImageTail) core.ImageTail {
+	return core.ImageTail{Image: t.GetImage(), Worst: t.GetWorst()}
+}
+
+func fillerToWire(f core.FillerLoad) *wire.FillerLoad {
+	return &wire.FillerLoad{Image: f.Image, Millicores: f.Millicores}
+}
+
+func fillerFromWire(f *wire.FillerLoad) core.FillerLoad {
+	return core.FillerLoad{Image: f.GetImage(), Millicores: f.GetMillicores()}
+}
+
+func pressToWire(p core.ImagePress) *wire.ImagePress {
+	return &wire.ImagePress{Lasting: p.Lasting, Filler: p.Filler, Press: p.Press}
+}
+
+func pressFromWire(p *wire.ImagePress) core.ImagePress {
+	return core.ImagePress{Lasting: p.GetLasting(), Filler: p.GetFiller(), Press: p.GetPress()}
+}
+
 // BeatAnswerToWire converts an entry's answer to a heartbeat.
 func BeatAnswerToWire(a core.BeatAnswer) *wire.BeatResponse {
 	return &wire.BeatResponse{
@@ -121,6 +149,7 @@
 		Entries:  each(a.Entries, netip.AddrPort.String),
 		Prior:    string(a.Prior),
 		Ease:     each(a.Ease, easeToWire),
+		Press:    each(a.Press, pressToWire),
 
 		CheckpointNs: int64(a.Checkpoint),
 	}
@@ -140,6 +169,7 @@
 		Entries:  each(m.GetEntries(), func(s string) netip.AddrPort { return f.addr("entries", s) }),
 		Prior:    core.Incarnation(m.GetPrior()),
 		Ease:     each(m.GetEase(), easeFromWire),
+		Press:    each(m.GetPress(), pressFromWire),
 
 		Checkpoint: time.Duration(m.GetCheckpointNs()),
 	}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,22 +1,27 @@
 // Package pace decides at what speed tasks that fill a VM's spare processor time
-// may run beside tasks that answer users.
+// may run beside lasting tasks that answer users.
 //
-// It answers one load pattern: fillers and lasting tasks share a VM, the
-// fillers slow the lasting tasks' answers down by an amount that differs by
-// image and changes within seconds, and the only sign is a tail latency that is
-// half a second old. The control lowers the speed in one step to where the tail
-// should meet its target, and raises it step by step while all tails are below. Beside the speed, which takes effect at once, it learns how much of the
-// VM fillers may take there without being slowed, for those who place tasks.
+// It answers one load pattern: fillers and lasting tasks share a VM, the fillers
+// slow the lasting tasks' answers down by an amount that differs much by image,
+// and the only sign is a tail latency that is half a second old. While a tail is
+// near or over its target, the control slows those fillers that add most to it, as
+// far as is needed by what is known of their press (package press), and leaves the
+// others alone. It raises speeds step by step as far as the tails bear it.
 //
 // # Usage
 //
 //	var c pace.Control
-//	c.Observe(pace.Load{Tail: 90 * time.Millisecond, Target: 100 * time.Millisecond})
-//	c.Step(now, 0.4) // fillers take 40% of the VM
-//	percent, share := c.Percent(), c.Share()
+//	c.Observe("api", 90*time.Millisecond, 100*time.Millisecond)
+//	c.Step(now, []pace.Load{{Image: "a", Share: 0.2, Press: map[string]float64{"api": 1.5}}})
+//	percent := c.Percent("a")
 package pace
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// step is the time between two changes: that of the measurement's window.
@@ -24,109 +29,133 @@
 	// nearTarget is the part of its target from which on a tail counts as
 	// endangered, so that the reaction comes before the target is missed.
 	nearTarget = 0.95
-	// wellBelow is the part of its target below which fillers speed up.
-	wellBelow = 0.8
-	// aloneTail is what a tail is taken for without fillers, as a part of its
-	// target; what exceeds it is put down to the fillers.
-	aloneTail = 0.5
-	// leastFactor bounds what one step takes away.
-	leastFactor = 0.1
-	// speedUp is what the speed is multiplied with, and firstUp the least that
-	// is added, in percent, in one step.
-	speedUp = 1.4
+	// speedUp is what a speed is multiplied with, and firstUp the least that is
+	// added, in percent, in one step.
+	speedUp = 1.6
 	firstUp = 15
 	// least is the lowest speed that is worth running at, in percent.
-	least = 4
-
-	// firstShare is the part of a VM for fillers before anything is learnt.
-	firstShare = 0.35
-	// shareUp is what one step adds to that part while it is used.
-	shareUp = 0.05
-	// shareUsed is the part of it from which on it counts as used.
-	shareUsed = 0.75
-	// leastShare keeps a part in which fillers can be tried again.
-	leastShare = 0.1
+	least = 5
+	// firstPress is assumed of a pair that nothing is known of.
+	firstPress = 0.8
 )
 
 // Full is full speed, in percent.
 const Full = 100
 
-// Load is the tail latency of one lasting task and its target.
+// Load is the fillers of one image on the VM.
 type Load struct {
-	Tail, Target time.Duration
+	Image string
+	Share float64 // part of the VM that they take at full speed, in [0, 1]
+	// Press holds by how much of its target a VM full of them raises the tail
+	// of lasting tasks, by the latter's image.
+	Press map[string]float64
+}
+
+// press returns the load's press on the lasting tasks of an image.
+func (l *Load) press(lasting string) float64 {
+	if p, ok := l.Press[lasting]; ok {
+		return p
+	}
+	return firstPress
 }
 
-// Control holds the speed of the fillers of one VM. The zero value runs them at
+// Control holds the speeds of the fillers of one VM. The zero value runs all at
 // full speed.
 type Control struct {
-	taken int     // percent taken away
-	lost  float64 // part of the VM taken away from fillers, less what is given at first
-	worst float64 // tail to target, since the last step
-	last  float64 // the same of the step before
-	next  time.Time
+	percent map[string]int     // of images that don't run at full speed
+	worst   map[string]float64 // tail to target since the last step, by image
+	last    map[string]float64 // the same of the step before
+	next    time.Time
 }
 
-// Observe takes a measurement of a lasting task.
-func (c *Control) Observe(l Load) {
-	if l.Target <= 0 {
+// Observe takes a measurement of the tail latency of a lasting task of an image.
+func (c *Control) Observe(image string, tail, target time.Duration) {
+	if target <= 0 {
 		return
 	}
-	c.worst = max(c.worst, float64(l.Tail)/float64(l.Target))
+	if c.worst == nil {
+		c.worst = map[string]float64{}
+	}
+	c.worst[image] = max(c.worst[image], float64(tail)/float64(target))
 }
 
-// Step decides anew once a measurement's window has passed. Fillers take the
-// given part of the VM at present, in [0, 1].
-func (c *Control) Step(now time.Time, fillers float64) {
+// Worst returns the largest tail latencies of the last window, as parts of their
+// targets, by the lasting tasks' images.
+func (c *Control) Worst() map[string]float64 { return c.last }
+
+// Percent returns the speed for fillers of an image.
+func (c *Control) Percent(image string) int {
+	if p, ok := c.percent[image]; ok {
+		return p
+	}
+	return Full
+}
+
+// Step decides anew once a measurement's window has passed, for the fillers that
+// are on the VM. It reports whether it did.
+func (c *Control) Step(now time.Time, loads []Load) bool {
 	if now.Before(c.next) {
-		return
+		return false
 	}
 	c.next = now.Add(step)
-	c.changeShare(fillers)
-	c.changeSpeed(fillers)
-	c.last, c.worst = c.worst, 0
+	c.speed(loads)
+	for _, image := range slices.Sorted(maps.Keys(c.worst)) {
+		c.slow(image, loads)
+	}
+	c.last, c.worst = c.worst, nil
+	return true
 }
 
-// Worst returns the largest tail latency of the last window, as a part of its
-// target.
-func (c *Control) Worst() float64 { return c.last }
-
-// Percent returns the speed for fillers.
-func (c *Control) Percent() int { return Full - c.taken }
-
-// Share returns the part of the VM that fillers may take beside lasting tasks,
-// in [0, 1].
-func (c *Control) Share() float64 { return firstShare - c.lost }
+// slow takes speed from the fillers that add most to the tail of a lasting image,
+// until it should be back at its target.
+func (c *Control) slow(lasting string, loads []Load) {
+	excess := c.worst[lasting] - nearTarget
+	byAdded := slices.SortedStableFunc(slices.Values(loads), func(a, b Load) int {
+		return cmp.Compare(c.added(lasting, b), c.added(lasting, a))
+	})
+	for _, l := range byAdded {
+		added := c.added(lasting, l)
+		if excess <= 0 || added <= 0 {
+			return
+		}
+		part := min(excess/added, 1)
+		excess -= added * part
+		c.set(l.Image, int(float64(c.Percent(l.Image))*(1-part)))
+	}
+}
 
-// factor returns what the fillers' speed has to be multiplied with for the worst
-// tail to come down to its target, if all above aloneTail is their doing.
-func (c *Control) factor() float64 {
-	return min(max((nearTarget-aloneTail)/(c.worst-aloneTail), leastFactor), 1)
+// added returns what a filler adds to a tail at its present speed.
+func (c *Control) added(lasting string, l Load) float64 {
+	return l.press(lasting) * l.Share * float64(c.Percent(l.Image)) / Full
 }
 
-func (c *Control) changeShare(fillers float64) {
-	share := c.Share()
-	switch {
-	case c.worst >= nearTarget && fillers > 0:
-		borne := fillers * float64(c.Percent()) / Full * c.factor()
-		share = max(min(share, borne), leastShare)
-	case c.worst < wellBelow && fillers >= share*shareUsed:
-		share = min(share+shareUp, 1)
+// speed raises speeds as far as the room below each target is thought to bear.
+func (c *Control) speed(loads []Load) {
+	for _, l := range loads {
+		p := c.Percent(l.Image)
+		if p == Full {
+			continue
+		}
+		up := min(max(float64(p)*(speedUp-1), firstUp), float64(Full-p))
+		for lasting, worst := range c.worst {
+			if cost := l.press(lasting) * l.Share * up / Full; cost > 0 {
+				up = min(up, up*max(nearTarget-worst, 0)/cost)
+			}
+		}
+		c.set(l.Image, p+int(up))
 	}
-	c.lost = firstShare - share
 }
 
-func (c *Control) changeSpeed(fillers float64) {
-	percent := Full - c.taken
-	switch {
-	case fillers == 0:
-		percent = Full
-	case c.worst >= nearTarget:
-		percent = int(float64(percent) * c.factor())
-		if percent < least {
-			percent = 0
-		}
-	case c.worst < wellBelow:
-		percent = min(max(int(float64(percent)*speedUp), percent+firstUp), Full)
+func (c *Control) set(image string, percent int) {
+	if percent >= Full {
+		delete(c.percent, image)
+		return
+	}
+	if c.percent == nil {
+		c.percent = map[string]int{}
+	}
+	if percent < least {
+		percent = 0
 	}
-	c.taken = Full - percent
+	c.percent[image] = percent
 }
--- a/place/cost.go
+++ b/place/cost.go
@@ -16,6 +16,9 @@
 func (s *search) price(slot int32) (cost float64, good bool) {
 	w := &s.x.workers[slot]
 	after := w.Committed.Plus(s.need.Size)
+	if s.view == viewSlack {
+		after = after.Minus(w.Slack)
+	}
 	used := fraction(after, w.Capacity)
 	cost = w.Penalty
 	ramp := used - w.share()
--- a/place/index.go
+++ b/place/index.go
@@ -7,8 +7,7 @@
 // The uses of a worker.
 const (
 	Quiet   Use = iota // it does not serve
-	Serving            // it serves, and bears more tasks that disturb
-	Crowded            // it serves, and bears no more of them
+	Serving            // it serves
 )
 
 // Worker is what the index knows of one worker.
@@ -25,6 +24,9 @@
 	// Batch is the part of Committed that urgent work may take. Set reduces
 	// it to Committed where it is larger.
 	Batch Size
+	// Slack is the part of Committed that its tasks are likely to leave unused
+	// and that fillers may use meanwhile.
+	Slack Size
 	// Use says what a worker runs that others may disturb.
 	Use Use
 	// Closed workers are never chosen.
@@ -69,6 +71,7 @@
 const (
 	viewFree    view = iota // capacity less all commitments
 	viewReclaim             // capacity less the commitments of urgent work
+	viewSlack               // capacity less what is likely to be used
 	views
 )
 
@@ -96,8 +99,6 @@
 	poolAccelerated
 	poolServing
 	poolServingAccelerated
-	poolCrowded
-	poolCrowdedAccelerated
 	pools
 )
 
@@ -106,11 +107,8 @@
 	if w.Capacity.Accelerators > 0 {
 		p = poolAccelerated
 	}
-	switch w.Use {
-	case Serving:
+	if w.Use == Serving {
 		p += poolServing
-	case Crowded:
-		p += poolCrowded
 	}
 	return p
 }
@@ -285,8 +283,11 @@
 func (x *Index) room(s int32, v view) Size {
 	w := &x.workers[s]
 	free := w.Free()
-	if v == viewReclaim {
+	switch v {
+	case viewReclaim:
 		free = free.Plus(w.Batch)
+	case viewSlack:
+		free = free.Plus(w.Slack)
 	}
 	return free
 }
--- a/place/pick.go
+++ b/place/pick.go
@@ -27,7 +27,6 @@
 	Anywhere    Where = iota // those that don't serve first
 	OnlyQuiet                // those that don't serve
 	OnlyServing              // those that serve
-	OnlyBearing              // those that serve and are not crowded
 )
 
 const (
@@ -56,6 +55,12 @@
 	return x.pick(&n, seed, viewReclaim)
 }
 
+// PickSlack is like Pick but counts what tasks are likely to leave unused as
+// room, for fillers.
+func (x *Index) PickSlack(n Need, seed uint64) (id string, ok bool) {
+	return x.pick(&n, seed, viewSlack)
+}
+
 func (x *Index) pick(n *Need, seed uint64, v view) (id string, ok bool) {
 	s := search{x: x, need: n, view: v, rng: seed, best: none, cell: cellOf(n.Size)}
 	if n.Owner != "" {
@@ -114,15 +119,11 @@
 // needed.
 var poolsFor = [...][2][]int{
 	Anywhere: {
-		{poolPlain, poolAccelerated, poolServing, poolServingAccelerated, poolCrowded, poolCrowdedAccelerated},
-		{poolAccelerated, poolServingAccelerated, poolCrowdedAccelerated},
-	},
-	OnlyQuiet: {{poolPlain, poolAccelerated}, {poolAccelerated}},
-	OnlyServing: {
-		{poolCrowded, poolCrowdedAccelerated, poolServing, poolServingAccelerated},
-		{poolCrowdedAccelerated, poolServingAccelerated},
+		{poolPlain, poolAccelerated, poolServing, poolServingAccelerated},
+		{poolAccelerated, poolServingAccelerated},
 	},
-	OnlyBearing: {{poolServing, poolServingAccelerated}, {poolServingAccelerated}},
+	OnlyQuiet:   {{poolPlain, poolAccelerated}, {poolAccelerated}},
+	OnlyServing: {{poolServing, poolServingAccelerated}, {poolServingAccelerated}},
 }
 
 // pools returns the pools that the need can use, in the order of search.
--- /dev/null
+++ b/press/press_test.go
@@ -0,0 +1,56 @@
+package press_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jayloft/press"
+)
+
+// A site of 11 VMs with two lasting images and 9 fillers, of which 4 press hard on
+// the first and none on the second, with tails that swing: the hard pairs are told
+// apart within 15 s of a measurement a second.
+func TestTellsHardPairsApart(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	hard := func(lasting string, i int) bool { return lasting == "a" && i < 4 }
+	var l press.Learner
+	for second := range 15 {
+		for vm := range 11 {
+			var loads []press.Load
+			for range 2 {
+				loads = append(loads, press.Load{Image: fmt.Sprint(r.IntN(9)), Share: 0.05 + 0.1*r.Float64()})
+			}
+			for _, lasting := range []string{"a", "b"} {
+				tail := 0.55 + 0.25*math.Sin(float64(second)/3+float64(vm))
+				for _, x := range loads {
+					var i int
+					_, err := fmt.Sscan(x.Image, &i)
+					assert.NilError(t, err)
+					if hard(lasting, i) {
+						tail += 20 * x.Share
+					}
+				}
+				l.Observe(fmt.Sprint(vm), lasting, tail, loads)
+			}
+		}
+	}
+	for _, lasting := range []string{"a", "b"} {
+		for i := range 9 {
+			p := l.Press(lasting, fmt.Sprint(i))
+			assert.Check(t, (p > 6) == hard(lasting, i), "%s %d: %.2f", lasting, i, p)
+		}
+	}
+}
+
+func TestWithoutFillersNothingIsLearntOfThem(t *testing.T) {
+	var l press.Learner
+	before := l.Press("a", "f")
+	for range 10 {
+		l.Observe("vm", "a", 3, nil)
+	}
+	assert.Equal(t, l.Press("a", "f"), before)
+}
