--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -88,7 +88,7 @@
 func (a *Agent) reportedMix() []FillerLoad {
 	var ls []FillerLoad
 	for _, image := range slices.Sorted(maps.Keys(a.fillerMix)) {
-		ls = append(ls, FillerLoad{Image: image, Millicores: int64(a.fillerMix[image])})
+		ls = append(ls, FillerLoad{Image: image, Millicores: int64(a.fillerMix[image]), Percent: a.pace.Percent(image)})
 	}
 	return ls
 }
--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -7,13 +7,13 @@
 
 const (
 	// bearTail is the tail, as a part of its target, up to which more fillers are
-	// placed beside a lasting task. It leaves room for the swing of its load.
-	bearTail = 0.85
-	// mildPress is what one filler may add to any tail, as a part of its target:
+	// placed beside a lasting task.
+	bearTail = 0.9
+	// mildPress is the utilization that one filler may add to any lasting task:
 	// less than the measurements' own noise.
-	mildPress = 0.04
+	mildPress = 0.02
 	// bearTries bounds the workers that are looked at for one filler.
-	bearTries = 6
+	bearTries = 12
 )
 
 // observePress learns from a beat how hard fillers press, and tells the agent
@@ -36,9 +36,11 @@
 	return float64(millicores) / float64(max(w.beat.Capacity.Millicores, 1))
 }
 
-// bears reports whether the lasting tasks on a worker are likely to bear one more
-// filler: by their tails of late, what was placed since, and what it adds.
-func (e *Entry) bears(w *workerView, image string, size Size) bool {
+// added returns the utilization that one more filler is likely to add to lasting
+// tasks on the worker, with those that were placed there since the last beat, and
+// whether the lasting tasks there are likely to bear it.
+func (e *Entry) added(w *workerView, image string, size Size) (most float64, borne bool) {
+	borne = true
 	for _, t := range w.beat.Tails {
 		added := e.press.Press(t.Image, image) * w.share(size.Millicores)
 		if added <= mildPress {
@@ -49,29 +51,35 @@
 				added += e.press.Press(t.Image, c.class) * w.share(c.soft.Millicores)
 			}
 		}
-		if t.Worst+added > bearTail {
-			return false
-		}
+		most = max(most, added)
+		borne = borne && press.Busy(t.Worst)+added <= press.Busy(bearTail)
 	}
-	return true
+	return most, borne
 }
 
-// pickFiller chooses a worker for a filler: one that does not serve, or else one
-// whose lasting tasks are likely to bear it. A job that is stuck takes any.
+// pickFiller chooses a worker for a filler: one that does not serve, or else the
+// one of a few where it adds least to tails that are likely to bear it. A job that
+// is stuck takes any.
 func (e *Entry) pickFiller(need place.Need, image string, stuck bool, seed uint64) (string, bool) {
 	if id, ok := e.index.PickSlack(need, seed); ok {
 		return id, true
 	}
 	need.Where = place.OnlyServing
+	var best string
+	var least float64
 	for range bearTries {
 		id, ok := e.index.PickSlack(need, seed)
 		if !ok {
 			break
 		}
-		if stuck || e.bears(e.workers[WorkerID(id)], image, need.Size) {
-			return id, true
-		}
 		need.Avoid = append(need.Avoid, id)
+		added, borne := e.added(e.workers[WorkerID(id)], image, need.Size)
+		if (borne || stuck) && (best == "" || added < least) {
+			best, least = id, added
+		}
+		if borne && added <= mildPress {
+			break
+		}
 	}
-	return "", false
+	return best, best != ""
 }
--- a/core/event.go
+++ b/core/event.go
@@ -192,6 +192,7 @@
 type FillerLoad struct {
 	Image      string
 	Millicores int64
+	Percent    int // their speed
 }
 
 // ImagePress is how hard fillers of one image press on lasting tasks of another,
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -121,11 +121,11 @@
 }
 
 func fillerToWire(f core.FillerLoad) *wire.FillerLoad {
-	return &wire.FillerLoad{Image: f.Image, Millicores: f.Millicores}
+	return &wire.FillerLoad{Image: f.Image, Millicores: f.Millicores, Percent: int32(f.Percent)}
 }
 
 func fillerFromWire(f *wire.FillerLoad) core.FillerLoad {
-	return core.FillerLoad{Image: f.GetImage(), Millicores: f.GetMillicores()}
+	return core.FillerLoad{Image: f.GetImage(), Millicores: f.GetMillicores(), Percent: int(f.GetPercent())}
 }
 
 func pressToWire(p core.ImagePress) *wire.ImagePress {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -21,6 +21,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"jayloft/press"
 )
 
 const (
@@ -36,7 +38,7 @@
 	// least is the lowest speed that is worth running at, in percent.
 	least = 5
 	// firstPress is assumed of a pair that nothing is known of.
-	firstPress = 0.8
+	firstPress = 1.5
 )
 
 // Full is full speed, in percent.
@@ -46,8 +48,8 @@
 type Load struct {
 	Image string
 	Share float64 // part of the VM that they take at full speed, in [0, 1]
-	// Press holds by how much of its target a VM full of them raises the tail
-	// of lasting tasks, by the latter's image.
+	// Press holds what utilization a VM full of them adds to lasting tasks, by
+	// the latter's image; see package press.
 	Press map[string]float64
 }
 
@@ -109,7 +111,7 @@
 // slow takes speed from the fillers that add most to the tail of a lasting image,
 // until it should be back at its target.
 func (c *Control) slow(lasting string, loads []Load) {
-	excess := c.worst[lasting] - nearTarget
+	excess := press.Busy(c.worst[lasting]) - press.Busy(nearTarget)
 	byAdded := slices.SortedStableFunc(slices.Values(loads), func(a, b Load) int {
 		return cmp.Compare(c.added(lasting, b), c.added(lasting, a))
 	})
@@ -124,7 +126,7 @@
 	}
 }
 
-// added returns what a filler adds to a tail at its present speed.
+// added returns the utilization that a filler adds at its present speed.
 func (c *Control) added(lasting string, l Load) float64 {
 	return l.press(lasting) * l.Share * float64(c.Percent(l.Image)) / Full
 }
@@ -139,7 +141,7 @@
 		up := min(max(float64(p)*(speedUp-1), firstUp), float64(Full-p))
 		for lasting, worst := range c.worst {
 			if cost := l.press(lasting) * l.Share * up / Full; cost > 0 {
-				up = min(up, up*max(nearTarget-worst, 0)/cost)
+				up = min(up, up*max(press.Busy(nearTarget)-press.Busy(worst), 0)/cost)
 			}
 		}
 		c.set(l.Image, p+int(up))
--- a/press/press.go
+++ b/press/press.go
@@ -4,41 +4,62 @@
 // It answers one load pattern: some pairs of images press hard on each other and
 // most hardly do, nobody says which, all images are new each day, and a measurement
 // shows only the sum of what is on a VM, on top of a tail that swings with its own
-// load. Each measurement corrects the estimates of the pairs that were present, in
-// proportion to the fillers' parts of the VM (normalised least mean squares;
-// Haykin, "Adaptive Filter Theory", ch. 6). Tails are given as a part of their
-// target.
+// load.
+//
+// A tail grows as that of a queue does: without bounds as the utilization nears 1.
+// So what fillers add is additive in utilization, not in the tail, and is learnt
+// there. Each measurement corrects a tail's own utilization and the estimates of
+// the pairs that were present, most those of which least is known: a filler that
+// was seen to do no harm is not blamed for another's (a Kalman filter with a
+// diagonal covariance; Haykin, "Adaptive Filter Theory", ch. 14).
+//
+// Tails are given as a part of their target.
 //
 // # Usage
 //
 //	var l press.Learner
 //	l.Observe("worker-1", "api", 1.4, []press.Load{{Image: "import", Share: 0.3}})
 //	more := l.Press("api", "import") * 0.1 // what a tenth of a VM of imports adds
+//	if press.Busy(0.6)+more > press.Busy(1) {
+//		// the target would be missed
+//	}
 package press
 
 const (
-	// first is the press of a pair that nothing is known of: a VM full of the
-	// filler raises the tail by that part of its target.
-	first = 0.8
+	// idleTail is the tail of an idle task as a part of its target. Targets are
+	// some five times the idle tail.
+	idleTail = 0.2
+
+	// first is the utilization that a VM full of a filler adds, of a pair that
+	// nothing is known of, and firstVariance how little that says: hard pairs add
+	// more than 4, and most others next to nothing.
+	first         = 1.5
+	firstVariance = 4
 	// most bounds an estimate against single wild measurements.
-	most = 150
-	// rate is the part of an error that one measurement corrects.
-	rate = 0.4
-	// floor keeps small shares from being made responsible for every swing.
-	floor = 0.004
-	// aloneFirst is the tail without fillers, before any was measured, and
-	// aloneMost the highest that is put down to a tail's own load.
-	aloneFirst = 0.5
-	aloneMost  = 0.9
-	// aloneUp and aloneDown follow the swing of a tail's own load. Upwards they
-	// are slow, since a tail takes a second to fall after its cause has gone.
-	aloneUp   = 0.1
-	aloneDown = 0.5
-	// leastShare is the sum of shares below which a measurement is put down to
-	// the tail's own load alone.
-	leastShare = 0.01
+	most = 12
+	// drift is what a pair's variance grows by with each measurement, since the
+	// press changes within seconds.
+	drift = 0.02
+
+	// aloneFirst is a lasting task's own utilization before any was measured,
+	// with its variance; aloneDrift follows the swing of its load, which takes
+	// some ten seconds.
+	aloneFirst    = 0.45
+	aloneVariance = 0.02
+	aloneDrift    = 0.003
+	aloneMost     = 0.8
+	// noise is the variance of a measured utilization.
+	noise = 0.006
 )
 
+// Busy returns the utilization at which a task has a tail, in [0, 1).
+func Busy(tail float64) float64 {
+	if tail <= idleTail {
+		return 0
+	}
+	return 1 - idleTail/tail
+}
+
 // Load is the part of a VM that tasks of one image take, in [0, 1].
 type Load struct {
 	Image string
@@ -51,52 +72,57 @@
 // tail names the lasting tasks of one image on a VM.
 type tail struct{ vm, image string }
 
+// estimate is what is known of one number.
+type estimate struct{ mean, variance float64 }
+
+// correct takes a measurement that missed, in which the number has a weight.
+func (e estimate) correct(miss, weight, variance, most float64) estimate {
+	gain := e.variance * weight / variance
+	return estimate{mean: min(max(e.mean+gain*miss, 0), most), variance: e.variance * (1 - gain*weight)}
+}
+
 // Learner holds the estimates for a site. The zero value knows nothing.
 type Learner struct {
-	pairs map[pair]float64
-	alone map[tail]float64 // tails without fillers
+	pairs map[pair]estimate
+	alone map[tail]estimate // utilizations without fillers
 }
 
 // Observe takes the worst tail of the lasting tasks of an image on a VM, and the
 // fillers that ran there meanwhile.
 func (l *Learner) Observe(vm, image string, worst float64, loads []Load) {
 	if l.pairs == nil {
-		l.pairs, l.alone = map[pair]float64{}, map[tail]float64{}
+		l.pairs, l.alone = map[pair]estimate{}, map[tail]estimate{}
 	}
-	at := tail{vm, image}
-	alone, known := l.alone[at]
+	alone, known := l.alone[tail{vm, image}]
 	if !known {
-		alone = aloneFirst
-	}
-	var added, sum, squares float64
-	for _, x := range loads {
-		added += l.Press(image, x.Image) * x.Share
-		sum += x.Share
-		squares += x.Share * x.Share
+		alone = estimate{aloneFirst, aloneVariance}
 	}
-	miss := worst - alone - added
-	if sum < leastShare {
-		l.alone[at] = min(max(alone+aloneStep(miss), 0), aloneMost)
-		return
+	alone.variance += aloneDrift
+	expected, variance := alone.mean, noise+alone.variance
+	present := make([]estimate, len(loads))
+	for i, x := range loads {
+		e := l.estimate(image, x.Image)
+		e.variance += drift
+		present[i] = e
+		expected += e.mean * x.Share
+		variance += e.variance * x.Share * x.Share
 	}
-	for _, x := range loads {
-		p := l.Press(image, x.Image) + rate*miss*x.Share/(squares+floor)
-		l.pairs[pair{image, x.Image}] = min(max(p, 0), most)
+	miss := Busy(worst) - min(expected, 1)
+	l.alone[tail{vm, image}] = alone.correct(miss, 1, variance, aloneMost)
+	for i, x := range loads {
+		l.pairs[pair{image, x.Image}] = present[i].correct(miss, x.Share, variance, most)
 	}
 }
 
-func aloneStep(miss float64) float64 {
-	if miss > 0 {
-		return aloneUp * miss
+func (l *Learner) estimate(lasting, filler string) estimate {
+	if e, ok := l.pairs[pair{lasting, filler}]; ok {
+		return e
 	}
-	return aloneDown * miss
+	return estimate{first, firstVariance}
 }
 
-// Press returns by what part of its target a VM full of the filler's tasks raises
-// the tail of a lasting task there.
+// Press returns what utilization a VM full of the filler's tasks adds to a lasting
+// task there.
 func (l *Learner) Press(lasting, filler string) float64 {
-	if p, ok := l.pairs[pair{lasting, filler}]; ok {
-		return p
-	}
-	return first
+	return l.estimate(lasting, filler).mean
 }
