press, core: unknown pairs taken for hard, fillers only where tails are low

Cause: a new pair's first second of harm counts four times, and the prior of 1.5 let hard fillers start beside tails near their target.

--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -8,7 +8,7 @@
 const (
 	// bearTail is the tail, as a part of its target, up to which more fillers are
 	// placed beside a lasting task.
-	bearTail = 0.9
+	bearTail = 0.75
 	// mildPress is the utilization that one filler may add to any lasting task:
 	// less than the measurements' own noise.
 	mildPress = 0.02
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -38,7 +38,7 @@
 	// least is the lowest speed that is worth running at, in percent.
 	least = 5
 	// firstPress is assumed of a pair that nothing is known of.
-	firstPress = 1.5
+	firstPress = 2.5
 )
 
 // Full is full speed, in percent.
--- a/press/press.go
+++ b/press/press.go
@@ -33,7 +33,7 @@
 	// first is the utilization that a VM full of a filler adds, of a pair that
 	// nothing is known of, and firstVariance how little that says: hard pairs add
 	// more than 4, and most others next to nothing.
-	first         = 1.5
+	first         = 2.5
 	firstVariance = 4
 	// most bounds an estimate against single wild measurements.
 	most = 12
