press: what was learnt is kept in the table; tails assumed of lasting tasks just placed

Cause: a restart of all entries forgot which images press, and until the first reports a worker with fresh lasting tasks seemed to bear everything.

--- a/core/entry.go
+++ b/core/entry.go
@@ -58,6 +58,7 @@
 	recent                 recentLog
 	noise                  noise.Model
 	press                  press.Learner // of fillers on lasting tasks
+	nextPress              time.Time     // when it is kept again; zero before it was read
 
 	commands map[string]*command // by id, changes only
 	asks     map[Token]*ask      // callers' calls about jobs, by the call's token
@@ -173,6 +174,7 @@
 	e.keepDue()
 	e.commandsDue()
 	e.asksDue()
+	e.pressDue()
 	e.schedule()
 	e.flushDue()
 	e.leaveDue()
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -360,6 +360,8 @@
 		e.commandRead(w.c, ev)
 	case waitAsk:
 		e.askRead(w.a, ev)
+	case waitPress:
+		e.pressRead(ev)
 	case waitWhy:
 		e.whyRead(w, ev)
 	}
--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"slices"
+	"time"
+
 	"jayloft/place"
 	"jayloft/press"
 )
@@ -31,6 +34,71 @@
 	}
 }
 
+const (
+	// keepPressEvery is the time between two writes of what was learnt. All
+	// entries learn the same, so the last write wins.
+	keepPressEvery = 4 * time.Second
+	// assumedTail is taken for the tail of lasting tasks that have just been
+	// placed, as a part of its target.
+	assumedTail = 0.4
+)
+
+// waitPress waits for the row of what was learnt before this entry began.
+type waitPress struct{}
+
+func (waitPress) wait() {}
+
+// pressDue reads what was learnt before, once, and keeps what is learnt.
+func (e *Entry) pressDue() {
+	if !e.ready() || e.circuit.Open(e.at.Now) || e.at.Now.Before(e.nextPress) {
+		return
+	}
+	first := e.nextPress.IsZero()
+	e.nextPress = e.at.Now.Add(keepPressEvery)
+	if first {
+		e.emit(ReadRows{Token: e.expect(waitPress{}), Keys: []string{KeyPress}})
+		return
+	}
+	if known := e.press.Known(); len(known) > 0 && !e.leaving {
+		e.commit(waitMember{}, nil, []Record{PressRow{Pairs: known}}, []string{KeyPress})
+	}
+}
+
+// pressRead takes what was learnt before this entry began.
+func (e *Entry) pressRead(ev RowsAnswered) {
+	if ev.Fault != FaultNone {
+		e.storeFault("read")
+		e.nextPress = time.Time{}
+		return
+	}
+	for _, r := range ev.View.Rows {
+		if r.Version == 0 {
+			continue
+		}
+		rec, err := Decode(r.Key, r.Value)
+		if err != nil {
+			e.note("press row passed over", r.Key, err.Error())
+			continue
+		}
+		if row, ok := rec.(PressRow); ok {
+			e.press.Recall(row.Pairs)
+		}
+	}
+}
+
+// tailsOn returns the tails of the lasting tasks on a worker, with assumed ones of
+// images that were placed there and are not reported yet.
+func (w *workerView) tailsOn() []ImageTail {
+	tails := slices.Clone(w.beat.Tails)
+	for _, c := range w.claims {
+		known := func(t ImageTail) bool { return t.Image == c.class }
+		if c.target > 0 && c.holder.Inc == w.inc && !slices.ContainsFunc(tails, known) {
+			tails = append(tails, ImageTail{Image: c.class, Worst: assumedTail})
+		}
+	}
+	return tails
+}
+
 // share returns the part of the worker that thousandths of a core are.
 func (w *workerView) share(millicores int64) float64 {
 	return float64(millicores) / float64(max(w.beat.Capacity.Millicores, 1))
@@ -41,7 +109,7 @@
 // whether the lasting tasks there are likely to bear it.
 func (e *Entry) added(w *workerView, image string, size Size) (most float64, borne bool) {
 	borne = true
-	for _, t := range w.beat.Tails {
+	for _, t := range w.tailsOn() {
 		added := e.press.Press(t.Image, image) * w.share(size.Millicores)
 		if added <= mildPress {
 			continue
--- a/core/rows.go
+++ b/core/rows.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"jayloft/press"
 )
 
 // Prefixes of the table's keys.
@@ -16,9 +18,12 @@
 	PrefixJob    = "job/"
 	PrefixFence  = "fence/"
 	PrefixOp     = "op/"
+	PrefixPress  = "press/"
 
 	// KeyVersion is the row that every change of configuration raises.
 	KeyVersion = PrefixConfig + "version"
+	// KeyPress is the row of what was learnt of fillers.
+	KeyPress = PrefixPress + "site"
 	// KeyQueues is the row of all queues.
 	KeyQueues = PrefixConfig + "queues"
 )
@@ -86,6 +91,12 @@
 	Queues []QueueRow `cbor:"1,keyasint"`
 }
 
+// PressRow keeps what entries have learnt of fillers beside lasting tasks, so that
+// it outlives them.
+type PressRow struct {
+	Pairs []press.Pair `cbor:"1,keyasint"`
+}
+
 // VersionRow counts the changes of configuration.
 type VersionRow struct {
 	N uint64 `cbor:"1,keyasint"`
@@ -238,6 +249,7 @@
 func (PolicyRow) record()  {}
 func (VersionRow) record() {}
 func (QueuesRow) record()  {}
+func (PressRow) record()   {}
 func (EntryRow) record()   {}
 func (FenceRow) record()   {}
 func (JobRow) record()     {}
@@ -304,6 +316,10 @@
 		var r PolicyRow
 		err := unmarshal(key, b, &r)
 		return r, err
+	case strings.HasPrefix(key, PrefixPress):
+		var r PressRow
+		err := unmarshal(key, b, &r)
+		return r, err
 	case strings.HasPrefix(key, PrefixEntry):
 		var r EntryRow
 		err := unmarshal(key, b, &r)
--- a/press/press.go
+++ b/press/press.go
@@ -25,6 +25,11 @@
 //	}
 package press
 
+import (
+	"cmp"
+	"slices"
+)
+
 const (
 	// idleTail is the tail of an idle task as a part of its target. Targets are
 	// some five times the idle tail.
@@ -126,3 +131,37 @@
 func (l *Learner) Press(lasting, filler string) float64 {
 	return l.estimate(lasting, filler).mean
 }
+
+// Pair is what is known of one pair of images, to be kept.
+type Pair struct {
+	Lasting  string  `cbor:"1,keyasint"`
+	Filler   string  `cbor:"2,keyasint"`
+	Press    float64 `cbor:"3,keyasint"`
+	Variance float64 `cbor:"4,keyasint"`
+}
+
+// Known returns the pairs that something was learnt of, in order.
+func (l *Learner) Known() []Pair {
+	var ps []Pair
+	for p, e := range l.pairs {
+		if e.variance < firstVariance/2 {
+			ps = append(ps, Pair{p.lasting, p.filler, e.mean, e.variance})
+		}
+	}
+	slices.SortFunc(ps, func(a, b Pair) int {
+		return cmp.Or(cmp.Compare(a.Lasting, b.Lasting), cmp.Compare(a.Filler, b.Filler))
+	})
+	return ps
+}
+
+// Recall takes pairs that were kept, where they are known better than here.
+func (l *Learner) Recall(ps []Pair) {
+	if l.pairs == nil {
+		l.pairs, l.alone = map[pair]estimate{}, map[tail]estimate{}
+	}
+	for _, p := range ps {
+		if p.Variance > 0 && p.Variance < l.estimate(p.Lasting, p.Filler).variance {
+			l.pairs[pair{p.Lasting, p.Filler}] = estimate{min(max(p.Press, 0), most), p.Variance}
+		}
+	}
+}
--- a/press/press_test.go
+++ b/press/press_test.go
@@ -54,3 +54,15 @@
 	}
 	assert.Equal(t, l.Press("a", "f"), before)
 }
+
+// What was learnt outlives the process that learnt it.
+func TestRecall(t *testing.T) {
+	var l, m press.Learner
+	for range 10 {
+		l.Observe("vm", "a", 2, []press.Load{{Image: "f", Share: 0.1}})
+	}
+	m.Recall(l.Known())
+	assert.Equal(t, m.Press("a", "f"), l.Press("a", "f"))
+	m.Recall([]press.Pair{{Lasting: "a", Filler: "f", Press: 0, Variance: 3}})
+	assert.Equal(t, m.Press("a", "f"), l.Press("a", "f"), "a worse estimate replaced a better one")
+}
