--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -249,20 +249,21 @@
 }
 
 // pickApart keeps fillers apart from lasting tasks, whose users would feel them,
-// for as long as there is room: lasting tasks share few workers, short tasks join
-// them there, and fillers have the others first, and beside lasting tasks only
-// what those were seen to bear. It answers the load pattern of many
-// fillers beside a few lasting tasks, where a lasting task on each worker would
-// slow all fillers down. A job of which nothing runs for long is stuck: then its
-// fillers go wherever there is room.
+// for as long as there is room: lasting tasks share workers by image, short tasks
+// join them there, and fillers have the others first, and beside lasting tasks
+// only what those were seen to bear. A job of which nothing runs for long is
+// stuck: then its fillers go wherever there is room.
 func (e *Entry) pickApart(need place.Need, st StepSpec, stuck bool, seed uint64) (string, bool) {
 	need.Spread = st.Filler
 	need.Where = place.OnlyServing
 	if st.Filler {
 		need.Where = place.OnlyQuiet
 	}
-	if st.Filler {
+	switch {
+	case st.Filler:
 		return e.pickFiller(need, st.Image, stuck, seed)
+	case st.Target > 0:
+		return e.pickLasting(need, st.Image, seed)
 	}
 	if id, ok := e.index.Pick(need, seed); ok {
 		return id, true
--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -125,6 +125,52 @@
 	return most, borne
 }
 
+// pickLasting chooses a worker for a lasting task: one that serves only tasks of
+// its image, or else one that does not serve, or else the one with the fewest
+// other images. It answers the load pattern of lasting tasks on all of a site,
+// where a filler has a place beside few images: the fewer images a worker serves,
+// the more fillers it bears.
+func (e *Entry) pickLasting(need place.Need, image string, seed uint64) (string, bool) {
+	var best string
+	var least int
+	need.Where, need.Spread = place.OnlyServing, false
+	tried := need
+	for range bearTries {
+		id, ok := e.index.Pick(tried, seed)
+		if !ok {
+			break
+		}
+		tried.Avoid = append(tried.Avoid, id)
+		others := e.workers[WorkerID(id)].otherImages(image)
+		if others == 0 {
+			return id, true
+		}
+		if best == "" || others < least {
+			best, least = id, others
+		}
+	}
+	need.Where, need.Spread = place.OnlyQuiet, true
+	if id, ok := e.index.Pick(need, seed); ok {
+		return id, true
+	}
+	if best != "" {
+		return best, true
+	}
+	need.Where = place.Anywhere
+	return e.index.PickReclaim(need, seed)
+}
+
+// otherImages counts the images of lasting tasks on a worker but one.
+func (w *workerView) otherImages(image string) int {
+	n := 0
+	for _, t := range w.tailsOn() {
+		if t.Image != image {
+			n++
+		}
+	}
+	return n
+}
+
 // pickFiller chooses a worker for a filler: one that does not serve, or else the
 // one of a few where it adds least to tails that are likely to bear it. A job that
 // is stuck takes any.
