core: an unanswered start at a silent worker is kept until no late order can come

Ruled out: the stop of unanswered starts, which needs an answer of the worker. Change: tasks the worker never listed wait 13 s past their deadline for that.

--- a/core/agentmatch.go
+++ b/core/agentmatch.go
@@ -126,6 +126,11 @@
 // a worker are given up; one may fail because the agent itself was paused.
 const lostFaults = 3
 
+// lateMost is how long after its deadline a worker may still carry out a start
+// whose answer was lost: the platform delivers orders up to 12 s late. A task that
+// the worker has listed can't be started by a late order any more.
+const lateMost = 13 * time.Second
+
 // workerQuiet reports whether the worker's interface has stopped to answer.
 func (a *Agent) workerQuiet() bool {
 	return a.ready && a.at.Now.Sub(a.inspectedAt) > workerSilent
@@ -138,7 +143,11 @@
 		return
 	}
 	for _, t := range a.heldInOrder() {
-		if t.launched && a.at.Now.After(t.deadline.Add(a.pol.Drift)) {
+		over := t.deadline.Add(a.pol.Drift)
+		if a.pol.StopLost && !t.listed {
+			over = over.Add(lateMost)
+		}
+		if t.launched && a.at.Now.After(over) {
 			a.ended(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "its worker does not answer"})
 		}
 	}
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -17,6 +17,7 @@
 	running map[core.Attempt]bool
 	refused map[core.Attempt]bool // stopped or ended here: never starts
 	lose    bool                  // starts get no answer and are kept for late
+	silent  bool                  // no call is answered
 	late    []core.Attempt
 	stops   int
 }
@@ -81,6 +82,9 @@
 func (n *namelessAgent) carry(eff core.AgentEffect) core.AgentEvent {
 	switch eff := eff.(type) {
 	case core.Inspect:
+		if n.w.silent {
+			return core.Inspected{Fault: core.FaultCut}
+		}
 		return n.w.account()
 	case core.Launch:
 		a := eff.Order.Attempt
@@ -91,6 +95,9 @@
 		n.w.start(a)
 		return core.Launched{Attempt: a, Started: true}
 	case core.Control:
+		if n.w.silent {
+			return core.Controlled{Attempt: eff.Attempt, Verb: eff.Verb, Fault: core.FaultCut}
+		}
 		if eff.Verb == core.VerbStop {
 			n.w.stops++
 			delete(n.w.running, eff.Attempt)
@@ -145,6 +152,20 @@
 	assert.Equal(t, len(w.running), 0, "the late start runs beside the next attempt")
 }
 
+// A worker that does not answer for seconds may still carry out a start that it was
+// told before.
+func TestStartAtASilentWorkerIsNotLostSoon(t *testing.T) {
+	w := newNamelessWorker()
+	w.lose = true
+	n := newNamelessAgent(t, w)
+	n.order(namelessTry)
+	w.silent = true
+	n.run(10 * time.Second)
+	assert.Equal(t, len(n.last.Ends), 0, "given up while a late start may come")
+	n.run(20 * time.Second)
+	assert.Equal(t, len(n.last.Ends), 1, "held for ever")
+}
+
 // A restarted agent goes on with what runs, under the same incarnation.
 func TestRestartedAgentKeepsTheIncarnation(t *testing.T) {
 	n := newNamelessAgent(t, newNamelessWorker())
