logs, story, io: structured logs that never block, histograms, jayloft explain

Cause: on-call engineers have only logs and metrics. Lines go to standard output through a queue; an event beyond 300 lines a second is summed up, what is dropped is told. /metrics is text, with histograms; JSON on request. jayloft explain ID FILE... puts the lines about an id in order and says what is missing. A stalled reader delays no line by 100 ms (TestStalledReaderDelaysNothing).

--- a/cmd/jayloft/agent.go
+++ b/cmd/jayloft/agent.go
@@ -52,7 +52,9 @@
 		fmt.Fprintf(os.Stderr, "%s: there is no [agent]\n", c.config)
 		return subcommands.ExitUsageError
 	}
-	l := newLog(file).WithField("worker", string(file.Agent.Worker))
+	root, w := newLog(file)
+	defer w.Close()
+	l := root.WithField("worker", string(file.Agent.Worker))
 	return run(l, c.config, file.Agent.Grace,
 		fx.Supply(file, *file.Agent),
 		fx.Provide(func() log.Interface { return l }, io.BootClock, newWorker, newAgent, agentProcess))
--- a/cmd/jayloft/entry.go
+++ b/cmd/jayloft/entry.go
@@ -53,7 +53,9 @@
 		fmt.Fprintf(os.Stderr, "%s: there is no [entry]\n", c.config)
 		return subcommands.ExitUsageError
 	}
-	l := newLog(file).WithField("entry", file.Entry.Name)
+	root, w := newLog(file)
+	defer w.Close()
+	l := root.WithField("entry", file.Entry.Name)
 	return run(l, c.config, file.Entry.Grace,
 		fx.Supply(file, *file.Entry),
 		fx.Provide(func() log.Interface { return l }, newTable, newEntry, entryProcess))
--- a/cmd/jayloft/log.go
+++ b/cmd/jayloft/log.go
@@ -3,41 +3,35 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 
 	"jayloft/config"
+	"jayloft/logs"
 )
 
-// newLog returns the log that the settings ask for.
-func newLog(f config.File) log.Interface {
-	var h log.Handler = &lineHandler{w: os.Stderr}
-	if f.Log.Format == "json" {
-		h = json.New(os.Stderr)
+// newLog returns the log that the settings ask for, and its writer, which the
+// process closes at its end.
+func newLog(f config.File) (log.Interface, *logs.Writer) {
+	format := logs.JSON
+	if f.Log.Format != "json" {
+		format = textLine
 	}
+	w := logs.NewWriter(os.Stdout, logs.WithFormat(format))
 	level, err := log.ParseLevel(f.Log.Level)
 	if err != nil {
 		level = log.InfoLevel
 	}
-	return &log.Logger{Handler: h, Level: level}
+	return &log.Logger{Handler: w, Level: level}, w
 }
 
-// lineHandler writes one line for each entry: time, level, message and fields,
-// without colours.
-type lineHandler struct {
-	mu sync.Mutex
-	w  io.Writer
-}
-
-// HandleLog writes an entry.
-func (h *lineHandler) HandleLog(e *log.Entry) error {
+// textLine formats an entry as one line: time, level, message and fields, without
+// colours.
+func textLine(e *log.Entry) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %-5s %s", e.Timestamp.Format(time.RFC3339Nano), e.Level, e.Message)
 	for _, name := range e.Fields.Names() {
@@ -46,10 +40,7 @@
 		}
 	}
 	b.WriteByte('\n')
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	_, err := h.w.Write(b.Bytes())
-	return err
+	return b.Bytes()
 }
 
 // quoted returns s in quotes if it holds more than one word.
--- a/cmd/jayloft/main.go
+++ b/cmd/jayloft/main.go
@@ -6,6 +6,7 @@
 //	jayloft agent -config agent.toml    the process beside each endpoint
 //	jayloft query 'show workers'         the operators' language
 //	jayloft check FILE...               what is wrong with settings and statements
+//	jayloft explain ID FILE...          the story of a job or task, from logs
 //	jayloft load -experiment FILE       measured load with faults
 //	jayloft stand -config FILE          stand-ins for the platform and the workers
 //	jayloft demo                        a whole site in one process
@@ -51,5 +52,5 @@
 }
 
 func clients() []subcommands.Command {
-	return []subcommands.Command{&queryCommand{}, &checkCommand{}, &loadCommand{}, &demoCommand{}}
+	return []subcommands.Command{&queryCommand{}, &checkCommand{}, &loadCommand{}, &demoCommand{}, &explainCommand{}}
 }
--- a/cmd/jayloft/stand.go
+++ b/cmd/jayloft/stand.go
@@ -84,7 +84,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	l := newLog(f)
+	l, w := newLog(f)
+	defer w.Close()
 	return run(l, path, standGrace, fx.Provide(func() *process {
 		return &process{server: s, sites: s.sites, grace: standGrace, log: l}
 	}))
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -12,6 +12,8 @@
 	}
 	a.addTombstone(ev.Order.Attempt)
 	a.count("start", r)
+	a.tell("start refused", ev.Order.Attempt.String(), "reason", string(r), "echo", a.at.Now.Sub(ev.Order.Echo).String(),
+		"lease", a.leaseEnd().Sub(a.at.Now).String(), "room", a.capacity.Minus(a.firm()).Millicores)
 	a.emit(StartReply{Token: ev.Token, Reason: r})
 }
 
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -275,6 +275,7 @@
 		return
 	}
 	t.stopping, t.stopSent = kind, a.at.Now
+	a.tell("run stopped", t.order.Attempt.String(), "kind", string(kind), "reason", reason)
 	a.emit(Control{Attempt: t.order.Attempt, Verb: VerbStop, Kind: kind, Reason: reason})
 }
 
@@ -296,6 +297,7 @@
 // ended moves a task from held to ends.
 func (a *Agent) ended(t *heldTask, e End) {
 	delete(a.held, t.order.Attempt.Task)
+	a.tell("run ended", e.Attempt.String(), "kind", string(e.Kind), "reason", e.Reason, "moved", t.moved)
 	a.learnGrowth(t)
 	if t.moved {
 		return
--- a/core/effect.go
+++ b/core/effect.go
@@ -116,6 +116,12 @@
 	Reason Reason
 }
 
+// Measure says how long something took; both reducers make it.
+type Measure struct {
+	Name string // docs/OPERATIONS.md lists them
+	Took time.Duration
+}
+
 // Note is a line for the log; both reducers make it.
 type Note struct {
 	Text    string // names the event; docs/OPERATIONS.md lists them
@@ -153,6 +159,7 @@
 func (CommandReply) entryEffect() {}
 func (Count) entryEffect()        {}
 func (Note) entryEffect()         {}
+func (Measure) entryEffect()      {}
 func (Wake) entryEffect()         {}
 func (Exit) entryEffect()         {}
 
@@ -254,5 +261,6 @@
 func (RevokeReply) agentEffect() {}
 func (Count) agentEffect()       {}
 func (Note) agentEffect()        {}
+func (Measure) agentEffect()     {}
 func (Wake) agentEffect()        {}
 func (Exit) agentEffect()        {}
--- a/core/entry.go
+++ b/core/entry.go
@@ -22,11 +22,14 @@
 	token Token
 	waits map[Token]wait
 
-	config  confView
-	round   readRound
-	circuit limit.Circuit
-	writes  *limit.Rate
-	reads   *limit.Rate
+	config confView
+	round  readRound
+	// storeLost says that a call of the table failed since the last round that
+	// succeeded.
+	storeLost bool
+	circuit   limit.Circuit
+	writes    *limit.Rate
+	reads     *limit.Rate
 
 	workers    map[WorkerID]*workerView
 	tasks      int        // that run on all workers
@@ -203,6 +206,11 @@
 	e.emit(Note{Text: text, Subject: subject, Detail: detail})
 }
 
+// measure says how long something took.
+func (e *Entry) measure(name string, since time.Time) {
+	e.emit(Measure{Name: name, Took: e.at.Now.Sub(since)})
+}
+
 // tell adds a line to the log with fields, given as names and values.
 func (e *Entry) tell(text, subject string, pairs ...any) { e.emit(noteOf(text, subject, pairs)) }
 
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -19,6 +19,7 @@
 type ask struct {
 	token Token
 	JobAsk
+	asked time.Time
 	// sent says that another entry may have accepted the submission.
 	sent bool
 }
@@ -34,7 +35,7 @@
 
 // jobAsked takes a call in: it finds the queue, and who owns the job.
 func (e *Entry) jobAsked(ev JobAsked) {
-	a := &ask{token: ev.Token, JobAsk: ev.Ask}
+	a := &ask{token: ev.Token, JobAsk: ev.Ask, asked: e.at.Now}
 	if why := e.checkAsk(); why != ReasonNone {
 		e.answerAsk(a, JobAnswer{Outcome: JobRefused, Reason: why, RetryAfter: e.comeBack()})
 		return
@@ -267,6 +268,7 @@
 		ans = JobAnswer{Outcome: JobUnknown, Reason: ans.Reason}
 	}
 	e.count("job."+string(a.Verb)+"."+string(ans.Outcome), ans.Reason)
+	e.measure("job."+string(a.Verb), a.asked)
 	if a.Verb == JobSubmit || a.Verb == JobStop {
 		e.tell("job "+string(a.Verb), string(a.Spec.ID), "outcome", string(ans.Outcome), "reason", string(ans.Reason),
 			"queue", a.Spec.Queue, "relayed", a.Relayed, "retry", ans.RetryAfter.String(), "config", e.config.n)
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -126,6 +126,9 @@
 		return
 	}
 	e.tasks += len(b.Running) - len(w.beat.Running)
+	if w.silent || w.beat.Sent.IsZero() {
+		e.tell("worker heard", string(w.id), "inc", string(b.Inc), "running", len(b.Running), "leaving", b.Leaving)
+	}
 	w.beat, w.silent = b, false
 	for _, t := range b.Running {
 		e.runningHeard(w, t, ans)
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -52,10 +52,15 @@
 	switch {
 	case ev.Fault == FaultCut:
 		e.count("start.lost", ReasonCut)
+		e.tell("order unanswered", c.attempt.String(), "worker", string(c.holder.Worker), "fault", "cut")
 	case ev.Fault == FaultNotSent:
 		e.releaseUnstarted(j, c, ReasonCut)
 	case !ev.Started:
+		e.tell("order refused", c.attempt.String(), "worker", string(c.holder.Worker), "reason", string(ev.Reason),
+			"echo", e.at.Now.Sub(c.since).String())
 		e.releaseUnstarted(j, c, ev.Reason)
+	default:
+		e.measure("start", c.since)
 	}
 }
 
--- a/core/entryfence.go
+++ b/core/entryfence.go
@@ -43,6 +43,7 @@
 		if quiet > e.pol.Silent && !w.silent {
 			w.silent = true
 			e.count("worker", ReasonCut)
+			e.tell("worker silent", string(id), "quiet", quiet.String(), "claims", len(w.claims))
 			e.closeWorker(w)
 		}
 		if quiet <= e.pol.Suspect || len(w.claims) == 0 {
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -313,6 +313,9 @@
 	if j.row.Cancel || j.row.stepDone(step) {
 		e.reconcileAll(j)
 	}
+	if !j.row.Ended.IsZero() {
+		e.jobEnded(j)
+	}
 }
 
 // stopClaims stops what runs of a cancelled job, now rather than at the next
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -216,6 +216,13 @@
 	e.edit(j, endEdit{end: end, worker: c.holder.Worker})
 }
 
+// jobEnded tells of a job whose last task has ended.
+func (e *Entry) jobEnded(j *jobView) {
+	e.measure("job", j.row.Accepted)
+	e.tell("job ended", string(j.row.Spec.ID), "state", string(j.row.State()), "queue", j.row.Spec.Queue,
+		"took", e.at.Now.Sub(j.row.Accepted).String(), "late", e.at.Now.Sub(j.row.Due()).String())
+}
+
 // runningHeard takes an attempt that an agent says it holds.
 func (e *Entry) runningHeard(w *workerView, t Attempt, ans *BeatAnswer) {
 	if c := w.claims[t.Task]; c != nil && c.attempt == t {
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -154,6 +154,12 @@
 func (e *Entry) assignShards() {
 	live := e.live()
 	n := float64(max(len(live), 1))
+	before := e.owned()
+	defer func() {
+		if after := e.owned(); after != before {
+			e.tell("shards owned", string(e.site.ID), "shards", after, "before", before, "live", len(live))
+		}
+	}()
 	e.writes.Set(e.at.Now, e.pol.WritesPerSecond/n)
 	e.reads.Set(e.at.Now, e.pol.ReadsPerSecond/n)
 	for s := range e.shards {
@@ -173,6 +179,17 @@
 	}
 }
 
+// owned returns the number of shards that this entry owns.
+func (e *Entry) owned() int {
+	n := 0
+	for i := range e.shards {
+		if e.shards[i].owned {
+			n++
+		}
+	}
+	return n
+}
+
 func owner(shard int, live []EntryID) EntryID {
 	var best EntryID
 	var top uint64
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -83,6 +84,10 @@
 	if e.round.open > 0 || e.round.failed {
 		return
 	}
+	if e.storeLost {
+		e.storeLost = false
+		e.tell("store regained", string(e.site.ID), "away", e.round.started.Sub(e.round.doneAt).String())
+	}
 	first := !e.ready()
 	e.round.done, e.round.doneAt = e.round.begun, e.round.started
 	e.assignShards()
@@ -93,6 +98,10 @@
 
 // storeFault counts a failed call of the table and opens the circuit.
 func (e *Entry) storeFault(what string) {
+	if !e.storeLost {
+		e.storeLost = true
+		e.tell("store lost", string(e.site.ID), "call", what, "read", e.at.Now.Sub(e.round.doneAt).String())
+	}
 	e.circuit.Bad(e.at.Now, e.at.Seed)
 	e.count("store."+what, ReasonStore)
 }
@@ -127,6 +136,7 @@
 		e.count("decode", ReasonConfig)
 	}
 	if len(v.Rows) > 0 || full {
+		e.tell("configuration in force", string(e.site.ID), "version", e.config.n, "revision", e.config.rev)
 		e.policyChanged()
 		e.configChanged(v.Rows)
 	}
@@ -152,6 +162,10 @@
 			e.routeWorker(w)
 		}
 	}
+	for _, dc := range slices.Sorted(maps.Keys(dcs)) {
+		row, _ := e.config.dc(dc)
+		e.tell("data centre", string(dc), "out", row.Out, "revision", e.config.rev)
+	}
 	e.queue.blocked = false
 }
 
--- a/io/agent.go
+++ b/io/agent.go
@@ -119,7 +119,7 @@
 	case core.Inspect:
 		s.run.run(func() { s.drive.post(s.worker.Inspect(eff)) })
 	case core.Launch:
-		s.run.run(func() { s.drive.post(s.worker.Launch(eff)) })
+		s.run.run(func() { s.launch(eff) })
 	case core.ReadEntries:
 		s.run.run(s.readEntries)
 	case core.Renew:
--- a/io/agentcall.go
+++ b/io/agentcall.go
@@ -43,3 +43,9 @@
 	}
 	s.drive.post(ev)
 }
+
+// launch starts a task at the worker.
+func (s *AgentServer) launch(c core.Launch) {
+	defer s.meter.since("worker.launch", time.Now())
+	s.drive.post(s.worker.Launch(c))
+}
--- a/io/driver.go
+++ b/io/driver.go
@@ -56,6 +56,8 @@
 		switch eff := any(eff).(type) {
 		case core.Count:
 			d.meter.count(eff)
+		case core.Measure:
+			d.meter.measure(eff)
 		case core.Note:
 			d.meter.note(eff)
 		case core.Wake:
--- a/io/entrycall.go
+++ b/io/entrycall.go
@@ -52,6 +52,7 @@
 
 // start sends an order to an agent.
 func (s *EntryServer) start(c core.Start) {
+	defer s.meter.since("agent.start", time.Now())
 	m, fault := call(s.peers, c.Addr, time.Now().Add(orderTimeout), codec.StartToWire(c.Order),
 		func(p *peer, ctx context.Context, r *connect.Request[wire.StartRequest]) (*connect.Response[wire.StartResponse], error) {
 			return p.agent.Start(ctx, r)
@@ -106,6 +107,7 @@
 
 // commit sends a transaction to the table.
 func (s *EntryServer) commit(c core.Commit) {
+	defer s.meter.since("store.commit", time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
 	defer cancel()
 	res, err := s.table.Commit(ctx, c.Txn)
@@ -114,6 +116,7 @@
 
 // readChanges reads changed rows from the table.
 func (s *EntryServer) readChanges(c core.ReadChanges) {
+	defer s.meter.since("store.changes", time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
 	defer cancel()
 	view, err := s.table.Changes(ctx, c.Prefix, c.Since)
@@ -122,6 +125,7 @@
 
 // readRows reads rows from the table.
 func (s *EntryServer) readRows(c core.ReadRows) {
+	defer s.meter.since("store.read", time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
 	defer cancel()
 	view, err := s.table.Read(ctx, c.Keys...)
--- a/load/scrape.go
+++ b/load/scrape.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return nil
 	}
+	req.Header.Set("Accept", "application/json")
 	p := &page{header: http.Header{}}
 	h.ServeHTTP(p, req)
 	var all map[string]struct {
