core: no orders to agents without a lease; beats in a hurry while it runs out

Echoes took up to 2.5 s. Change: beats say that there is no lease, placement passes such workers by, requests don't; beats come four times as often below half a lease.

--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -21,12 +21,32 @@
 		if p.inFlight && a.at.Now.Before(p.next.Add(beatTimeout)) || a.at.Now.Before(p.next) {
 			continue
 		}
-		p.next = a.at.Now.Add(a.pol.BeatEvery)
+		p.next = a.at.Now.Add(a.beatEvery())
 		p.inFlight = true
 		a.emit(SendBeat{Entry: addr, Beat: a.beat()})
 	}
 }
 
+// lowLease is the part of a lease that is left when beats become frequent, and
+// hurry how many times as frequent: an echo takes two beats.
+const (
+	lowLease = 0.5
+	hurry    = 4
+)
+
+// beatEvery returns the time to the next beat: less while the lease runs out, so
+// that it is renewed soon after the table is back.
+func (a *Agent) beatEvery() time.Duration {
+	left := a.leaseEnd().Sub(a.at.Now)
+	if left < time.Duration(lowLease*float64(a.pol.Lease)) {
+		return a.pol.BeatEvery / hurry
+	}
+	return a.pol.BeatEvery
+}
+
+// lapsed reports whether there is no lease to start tasks under.
+func (a *Agent) lapsed() bool { return a.pol.on(guardLease) && !a.leaseEnd().After(a.at.Now) }
+
 // beatSoon makes the next beats due now, to report an end early.
 func (a *Agent) beatSoon() {
 	for _, p := range a.peers {
@@ -54,6 +74,7 @@
 		Capacity: a.capacity, Committed: a.committed(), Batch: a.batch(), Used: a.used,
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
 		Config: a.config.rev, Leaving: a.leaving || out || a.fenced || a.draining || a.workerQuiet(),
+		Lapsed: a.lapsed(),
 	}
 	b.Tails, b.Fillers = a.tails(), a.reportedMix()
 	for _, t := range a.heldInOrder() {
@@ -170,6 +191,10 @@
 	if a.fenced || !echo.After(a.echo) || echo.After(a.at.Now) || echo.Before(a.joined) {
 		return
 	}
+	if a.lapsed() {
+		a.tell("lease renewed", string(a.inc), "held", len(a.held))
+		a.beatSoon()
+	}
 	a.echo = echo
 	if a.workerQuiet() {
 		return
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -257,7 +257,7 @@
 		Capacity: w.beat.Capacity, Committed: all, Batch: batch,
 		Use:     w.use(),
 		Slack:   w.slack(),
-		Closed:  !ok || w.failures.quarantined(e.at.Now),
+		Closed:  !ok || w.beat.Lapsed || w.failures.quarantined(e.at.Now),
 		Penalty: w.failures.penalty() + e.disturbance(w),
 		Share:   e.ramp(w.beat.DC),
 	})
--- a/core/event.go
+++ b/core/event.go
@@ -155,6 +155,7 @@
 	Ends      []End
 	Config    uint64 // version in force at the agent
 	Leaving   bool
+	Lapsed    bool     // there is no lease to start tasks under
 	Labels    []string // of the worker
 	Serving   int      // tasks with a target for their tail latency
 	Lasting   int64    // thousandths of a core that lasting tasks hold
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -46,6 +46,8 @@
 	last   core.Beat
 	fenced map[core.Incarnation]bool
 	prior  core.Incarnation
+	mute   bool // the entry echoes nothing: the table is away
+	beats  int
 }
 
 var (
@@ -106,6 +108,10 @@
 		return core.Controlled{Attempt: eff.Attempt, Verb: eff.Verb, Done: true}
 	case core.SendBeat:
 		n.last = eff.Beat
+		n.beats++
+		if n.mute {
+			return core.BeatAnswered{Entry: eff.Entry, Sent: eff.Beat.Sent, Answer: core.BeatAnswer{Config: 1}}
+		}
 		ans := core.BeatAnswer{Echo: eff.Beat.Sent, Config: 1, Full: true, Prior: n.prior, Rows: nil}
 		if n.fenced[eff.Beat.Inc] {
 			ans = core.BeatAnswer{Fenced: true, Prior: n.prior}
@@ -224,3 +230,19 @@
 	n.order(core.Attempt{Task: core.TaskID{Job: "l"}, Number: 1})
 	assert.Equal(t, len(n.w.running), 1, "started on a worker that leaves")
 }
+
+// Until an entry has renewed its lease, an agent says so and beats often: orders
+// that it must refuse help nobody.
+func TestAgentWithoutALeaseSaysSo(t *testing.T) {
+	n := newNamelessAgent(t, newNamelessWorker())
+	assert.Assert(t, !n.last.Lapsed)
+	n.mute = true
+	n.run(core.DefaultPolicy().Lease + time.Second)
+	assert.Assert(t, n.last.Lapsed)
+	n.beats = 0
+	n.run(time.Second)
+	assert.Assert(t, n.beats >= 6, "%d beats", n.beats)
+	n.mute = false
+	n.run(300 * time.Millisecond)
+	assert.Assert(t, !n.last.Lapsed, "a renewed lease is told with the next beat")
+}
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -35,7 +35,7 @@
 		Tails:   []core.ImageTail{{Image: "i", Worst: 0.5}},
 		Fillers: []core.FillerLoad{{Image: "f", Millicores: 5, Percent: 6}},
 		Labels:  []string{"l"}, Serving: 1, Lasting: 3,
-		Config: 7, Leaving: true, Gone: []core.Incarnation{"g"},
+		Config: 7, Leaving: true, Lapsed: true, Gone: []core.Incarnation{"g"},
 	}
 	wholly(t, b)
 	got, err := BeatFromWire(BeatToWire(b))
