core: lasting tasks are not put behind a backlog

Change: lasting jobs have no date to miss; 48 steps are tried. Test: TestLastingTaskIsNotPutBehindABacklog fails without the change.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -196,3 +196,75 @@
 	a.post(core.Tick{})
 	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobUnknown)
 }
+
+// beat announces a worker with the room of some cores.
+func (a *askEntry) beat(cores int64) {
+	a.post(core.BeatHeard{Token: 1, Beat: core.Beat{
+		Worker: "w", Inc: "i", Run: "r", DC: "dc", Sent: a.now, Capacity: core.Size{Millicores: 1000 * cores, MemoryMB: 1000},
+		Services: []core.ServiceLoad{{Service: "s"}},
+	}})
+}
+
+// commitAll answers the transactions of the last event and of those that follow,
+// and returns how many claims of a job they hold.
+func (a *askEntry) commitAll(id core.JobID) (claims int) {
+	for {
+		var commits []core.Commit
+		for _, eff := range a.out {
+			if c, ok := eff.(core.Commit); ok {
+				commits = append(commits, c)
+			}
+		}
+		if len(commits) == 0 {
+			return claims
+		}
+		for _, c := range commits {
+			claims += a.claims(c, id)
+			a.rev++
+			a.post(core.CommitAnswered{Token: c.Token, Result: table.Result{Committed: true, Revision: a.rev}})
+		}
+	}
+}
+
+// claims counts the claims of a job in a transaction.
+func (a *askEntry) claims(c core.Commit, id core.JobID) (n int) {
+	for _, w := range c.Txn.Writes {
+		rec, err := core.Decode(w.Key, w.Value)
+		assert.NilError(a.t, err)
+		if row, ok := rec.(core.JobRow); ok && row.Spec.ID == id {
+			for _, t := range row.Tasks {
+				if t.State == core.TaskClaimed {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// A lasting task that has to start again is not behind jobs that wait for room,
+// however long ago its job was accepted.
+func TestLastingTaskIsNotPutBehindABacklog(t *testing.T) {
+	a := newAskEntry(t)
+	submit := func(id string, st core.StepSpec) {
+		a.post(core.JobAsked{Token: 77, Ask: core.JobAsk{
+			Verb: core.JobSubmit, Path: "/q/" + id, Spec: core.JobSpec{Steps: []core.StepSpec{st}}, By: a.now.Add(time.Hour),
+		}})
+		a.commitAll("")
+	}
+	submit("lasting", core.StepSpec{Count: 1, Size: core.Size{Millicores: 900}, Lasting: true})
+	a.now = a.now.Add(time.Minute)
+	for i := range 100 {
+		submit("job"+string(rune('a'+i/26))+string(rune('a'+i%26)), core.StepSpec{
+			Count: 1, Size: core.Size{Millicores: 2000}, Estimate: time.Second,
+		})
+	}
+	for range 40 {
+		a.now = a.now.Add(50 * time.Millisecond)
+		a.beat(1)
+		if a.commitAll("lasting") > 0 {
+			return
+		}
+	}
+	t.Fatal("the lasting task is never placed")
+}
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -15,8 +15,9 @@
 const (
 	// placeBurst bounds the placements of one step.
 	placeBurst = 256
-	// placeTries is how many tasks that find no room are passed over.
-	placeTries = 16
+	// placeTries is how many tasks, or steps of jobs, that find no room are passed
+	// over.
+	placeTries = 48
 	// avoidFor is how long a worker that refused a job's task is avoided.
 	avoidFor = 2 * time.Second
 	// stopEvery is the time between two orders to stop a cancelled task.
@@ -68,6 +69,9 @@
 	if len(spec.Steps) > 0 {
 		job.Accepted, job.Due, job.Left = j.row.Accepted, j.row.Due(), j.row.left()
 	}
+	if spec.lasts() {
+		job.Accepted = time.Time{} // it is owed for as long as it lasts
+	}
 	if e.pol.EarliestDue {
 		return order.EarliestDue(job)
 	}
--- a/core/steps.go
+++ b/core/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -102,6 +103,11 @@
 	return s.Steps[i]
 }
 
+// lasts reports whether some step of the job lasts.
+func (s *JobSpec) lasts() bool {
+	return slices.ContainsFunc(s.Steps, func(st StepSpec) bool { return st.Lasting })
+}
+
 // input returns what a task is given to work on.
 func (s *JobSpec) input(n int) string {
 	if len(s.Steps) == 0 {
