core: a refused submission leaves nothing behind

Change: withdrawn jobs go with all who wait for them, and no transaction writes a job that nothing creates. Test: TestRefusedSubmissionLeavesNothing failed first.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -268,3 +268,40 @@
 	}
 	t.Fatal("the lasting task is never placed")
 }
+
+// A submission that was refused because nothing of it was sent in time leaves
+// nothing behind: it never runs, and can be submitted again.
+func TestRefusedSubmissionLeavesNothing(t *testing.T) {
+	a := newAskEntry(t)
+	a.beat(8)
+	a.commitAll("")
+	a.submit() // its transaction blocks the group: the table does not answer
+	blocking := need[core.Commit](a)
+	a.post(core.JobAsked{Token: 78, Ask: core.JobAsk{
+		Verb: core.JobSubmit, Path: "/q/late", By: a.now.Add(time.Second),
+		Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
+	}})
+	a.now = a.now.Add(1100 * time.Millisecond)
+	a.post(core.Tick{})
+	refused := false
+	for _, eff := range a.out {
+		if r, ok := eff.(core.JobReply); ok && r.Token == 78 {
+			refused = r.Answer.Outcome == core.JobRefused
+		}
+	}
+	assert.Assert(t, refused, "nothing was sent of it")
+	a.post(core.CommitAnswered{Token: blocking.Token, Result: table.Result{Committed: true, Revision: 30}})
+	claims := a.commitAll("late")
+	for range 20 {
+		a.now = a.now.Add(100 * time.Millisecond)
+		a.beat(8)
+		claims += a.commitAll("late")
+	}
+	assert.Equal(t, claims, 0, "a refused job is claimed")
+	// Nothing is left of it: the caller may submit it again.
+	a.post(core.JobAsked{Token: 79, Ask: core.JobAsk{
+		Verb: core.JobSubmit, Path: "/q/late", By: a.now.Add(time.Second),
+		Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
+	}})
+	assert.Equal(t, a.commitAll("late"), 1, "a submission that was refused before is not taken")
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -285,21 +285,25 @@
 			continue
 		}
 		if a.Verb == JobSubmit && e.withdraw(a) {
-			e.answerAsk(a, JobAnswer{Outcome: JobRefused, Reason: ReasonStore, RetryAfter: e.comeBack()})
 			continue
 		}
 		e.answerAsk(a, JobAnswer{Outcome: JobUnknown, Reason: ReasonDeadline})
 	}
 }
 
-// withdraw takes a submission back of which nothing was sent to the table.
+// withdraw takes a submission back of which nothing was sent to the table, and
+// refuses it to all who wait for it.
 func (e *Entry) withdraw(a *ask) bool {
 	j := e.jobs[a.Spec.ID]
 	if j == nil || j.row.stored || j.flown || !hasEdit(j.edits, createEdit{}) {
 		return false
 	}
-	j.edits = nil
+	askers := j.askers
+	j.askers, j.edits = nil, nil
 	e.forget(a.Spec.ID, j)
+	for _, waiting := range askers {
+		e.answerAsk(waiting, JobAnswer{Outcome: JobRefused, Reason: ReasonStore, RetryAfter: e.comeBack()})
+	}
 	return true
 }
 
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -147,6 +147,11 @@
 			e.voided(j, ed)
 		}
 	}
+	if !row.stored {
+		// No edit creates the job, so it was taken back: nothing of it may be
+		// written.
+		j.flying = nil
+	}
 	if len(j.flying) == 0 {
 		e.dropForeign(j)
 		return
