--- a/pace/pace.go
+++ b/pace/pace.go
@@ -37,6 +37,9 @@
 	firstUp = 15
 	// least is the lowest speed that is worth running at, in percent.
 	least = 5
+	// patience is how long a target may be missed on end until all fillers stop,
+	// whatever is known of them: users bear 4 s, and a tail takes one to fall.
+	patience = 1500 * time.Millisecond
 	// firstPress is assumed of a pair that nothing is known of.
 	firstPress = 2.5
 )
@@ -64,9 +67,10 @@
 // Control holds the speeds of the fillers of one VM. The zero value runs all at
 // full speed.
 type Control struct {
-	percent map[string]int     // of images that don't run at full speed
-	worst   map[string]float64 // tail to target since the last step, by image
-	last    map[string]float64 // the same of the step before
+	percent map[string]int       // of images that don't run at full speed
+	worst   map[string]float64   // tail to target since the last step, by image
+	last    map[string]float64   // the same of the step before
+	missed  map[string]time.Time // since when targets are missed on end, by image
 	next    time.Time
 }
 
@@ -104,10 +108,35 @@
 	for _, image := range slices.Sorted(maps.Keys(c.worst)) {
 		c.slow(image, loads)
 	}
+	if c.missedLong(now) {
+		for _, l := range loads {
+			c.set(l.Image, 0)
+		}
+	}
 	c.last, c.worst = c.worst, nil
 	return true
 }
 
+// missedLong notes which targets are missed, and reports whether one is for too
+// long.
+func (c *Control) missedLong(now time.Time) bool {
+	missed := map[string]time.Time{}
+	long := false
+	for image, worst := range c.worst {
+		if worst <= 1 {
+			continue
+		}
+		since, ok := c.missed[image]
+		if !ok {
+			since = now
+		}
+		missed[image] = since
+		long = long || now.Sub(since) >= patience
+	}
+	c.missed = missed
+	return long
+}
+
 // slow takes speed from the fillers that add most to the tail of a lasting image,
 // until it should be back at its target.
 func (c *Control) slow(lasting string, loads []Load) {
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -85,3 +85,13 @@
 	c.Step(time.Unix(1, 0), []pace.Load{{Image: "a", Share: 1}})
 	assert.Equal(t, c.Percent("a"), pace.Full)
 }
+
+// A press that is thought to be nothing, but is not, does not harm for long.
+func TestStopsAllWhenNothingElseHelps(t *testing.T) {
+	v := vm{
+		own: 0.6, now: time.Unix(1, 0), press: map[string]float64{"a": 3},
+		loads: []pace.Load{{Image: "a", Share: 0.3, Press: map[string]float64{"api": 0}}},
+	}
+	v.run(10 * time.Second)
+	assert.Assert(t, v.over <= 2500*time.Millisecond, "missed for %v", v.over)
+}
