--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -305,3 +305,61 @@
 	}})
 	assert.Equal(t, a.commitAll("late"), 1, "a submission that was refused before is not taken")
 }
+
+// A worker on which one task of a step stands still, while the others are done: the
+// task is moved, and once only for each attempt that may straggle.
+func TestStragglerIsMoved(t *testing.T) {
+	a := newAskEntry(t)
+	a.post(core.JobAsked{Token: 1, Ask: core.JobAsk{
+		Verb: core.JobSubmit, Path: askPath, By: a.now.Add(time.Hour),
+		Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 4, Size: core.Size{Millicores: 1}}}},
+	}})
+	a.commitAll(askJob)
+	var running []core.Attempt
+	var ends []core.End
+	beat := func() (stopped bool) {
+		a.post(core.BeatHeard{Token: 1, Beat: core.Beat{
+			Worker: "w", Inc: "i", Run: "r", DC: "dc", Sent: a.now, Capacity: core.Size{Millicores: 8000, MemoryMB: 1000},
+			Services: []core.ServiceLoad{{Service: "s"}}, Running: running, Ends: ends,
+		}})
+		var starts []core.Start
+		for range 3 {
+			for _, eff := range a.out {
+				switch eff := eff.(type) {
+				case core.Start:
+					starts = append(starts, eff)
+				case core.Stop:
+					stopped = true
+				}
+			}
+			commit, ok := find[core.Commit](a)
+			if !ok {
+				break
+			}
+			a.rev++
+			a.post(core.CommitAnswered{Token: commit.Token, Result: table.Result{Committed: true, Revision: a.rev}})
+		}
+		for _, s := range starts {
+			running = append(running, s.Order.Attempt)
+			a.post(core.StartAnswered{Token: s.Token, Started: true})
+		}
+		a.now = a.now.Add(250 * time.Millisecond)
+		return stopped
+	}
+	for range 4 {
+		beat()
+	}
+	assert.Equal(t, len(running), 4)
+	for _, r := range running[:3] {
+		ends = append(ends, core.End{Attempt: r, Kind: core.EndDone})
+	}
+	running = running[3:]
+	began := a.now
+	for range 60 {
+		if beat() {
+			assert.Assert(t, a.now.Sub(began) > 2*time.Second, "moved after %v", a.now.Sub(began))
+			return
+		}
+	}
+	t.Fatal("the straggler is never moved")
+}
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -61,6 +61,7 @@
 		e.releaseUnstarted(j, c, ev.Reason)
 	default:
 		e.measure("start", c.since)
+		c.began = e.at.Now
 	}
 }
 
@@ -106,6 +107,7 @@
 		c.stopSent = e.at.Now
 		e.emit(Stop{Addr: w.beat.Addr, Attempt: c.attempt, Inc: w.inc, Kind: EndCancelled, Reason: "job cancelled"})
 	}
+	e.moveStraggler(w, j, c)
 	quiet := e.at.Now.Sub(latest(c.since, c.heard))
 	if c.asking || quiet < e.pol.SettleAfter {
 		return
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -13,7 +13,8 @@
 	shard   int
 	foreign bool // of a shard that another entry owns; kept for one edit
 
-	askers []*ask // who wait for an edit of the whole job
+	steps  map[int]pacing // of the tasks that this entry saw run to their end
+	askers []*ask         // who wait for an edit of the whole job
 
 	edits  []edit // to be written
 	flying []edit // in the transaction that is in flight
@@ -40,6 +41,7 @@
 
 	committed bool      // the table holds it
 	since     time.Time // when it was decided or loaded
+	began     time.Time // when its agent took the order; zero if this entry did not see it
 	echo      time.Time // for the start order
 	lasting   bool
 	target    time.Duration // of a lasting task's tail latency
@@ -269,6 +271,9 @@
 	}
 	if c := w.claims[t.Task]; c != nil && c.attempt == t {
 		c.listed, c.heard = true, e.at.Now
+		if end.Kind == EndDone && !hasEdit(j.edits, endEdit{end: end}) && !hasEdit(j.flying, endEdit{end: end}) {
+			j.noteDone(c, e.at.Now)
+		}
 	}
 	e.edit(j, endEdit{end: end, worker: w.id})
 }
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -230,6 +230,32 @@
 		Size: st.Size, Spread: first || st.Filler, Owner: string(t.Job), Avoid: e.avoided(j, t.N),
 	}
 	need.Avoid = append(need.Avoid, e.unfit(j, t.N, st)...)
+	if st.DataRack != "" {
+		near := need
+		near.Avoid = append(slices.Clone(need.Avoid), e.awayFrom(st.DataRack)...)
+		if id, ok := e.pickOne(near, j, q, st); ok {
+			return id, true
+		}
+	}
+	return e.pickOne(need, j, q, st)
+}
+
+// awayFrom returns the workers that are not in a rack: tasks whose data is there
+// run longer on them, so they come second.
+func (e *Entry) awayFrom(rack Rack) []string {
+	var ids []string
+	for _, id := range e.workerIDs() {
+		if e.workers[id].beat.Rack != rack {
+			ids = append(ids, string(id))
+		}
+	}
+	return ids
+}
+
+// pickOne chooses among the workers that a need leaves.
+func (e *Entry) pickOne(need place.Need, j *jobView, q waiting, st StepSpec) (WorkerID, bool) {
+	t := q.task
+	first := j.row.Spec.first(st)
 	seed := e.at.Seed ^ uint64(e.token)<<20 ^ uint64(t.N)
 	if e.pol.FirstFit {
 		return e.firstFit(need)
--- /dev/null
+++ b/core/entrystraggle.go
@@ -0,0 +1,71 @@
+package core
+
+import "time"
+
+// Numbers by which a task counts as a straggler.
+const (
+	// straggleTimes is how many times as long as the longest of its step's other
+	// tasks a task must have run: tasks of a step differ by a third.
+	straggleTimes = 3
+	// straggleLeast is added to that, for short tasks.
+	straggleLeast = time.Second
+	// straggleDone is the part of a step's tasks that must be done first.
+	straggleDone = 0.5
+	// straggleAttempts is the attempt up to which a task is moved for this.
+	straggleAttempts = 2
+)
+
+// pacing is how long the tasks of a step took that are done.
+type pacing struct {
+	done    int
+	longest time.Duration
+}
+
+// noteDone takes how long a task took that is done.
+func (j *jobView) noteDone(c *claim, now time.Time) {
+	if c.began.IsZero() {
+		return
+	}
+	step, _ := j.row.Spec.Locate(c.attempt.Task.N)
+	if j.steps == nil {
+		j.steps = map[int]pacing{}
+	}
+	p := j.steps[step]
+	p.done++
+	p.longest = max(p.longest, now.Sub(c.began))
+	j.steps[step] = p
+}
+
+// straggles reports whether a task runs much longer than the others of its step
+// did. It answers the load pattern of a worker on which tasks stand still or are
+// slow while its health is good: the step, and the job, wait for the last task. The
+// measure is the step itself, since declared run times are off by more than that.
+// Fillers are slow for other reasons.
+func (e *Entry) straggles(j *jobView, c *claim) bool {
+	n := c.attempt.Task.N
+	st := j.row.Spec.Step(n)
+	if len(j.row.Spec.Steps) == 0 || st.Lasting || st.Filler || c.began.IsZero() || c.attempt.Number > straggleAttempts {
+		return false
+	}
+	step, _ := j.row.Spec.Locate(n)
+	p := j.steps[step]
+	if p.done == 0 || float64(p.done) < straggleDone*float64(st.Count) {
+		return false
+	}
+	return e.at.Now.Sub(c.began) > straggleTimes*p.longest+straggleLeast
+}
+
+// moveStraggler stops a straggler, to go on elsewhere from its checkpoint.
+func (e *Entry) moveStraggler(w *workerView, j *jobView, c *claim) {
+	if !e.straggles(j, c) || e.at.Now.Sub(c.stopSent) < stopEvery {
+		return
+	}
+	c.stopSent = e.at.Now
+	j.avoid[w.id] = e.at.Now.Add(avoidStraggler)
+	e.count("evict", "straggler")
+	e.tell("straggler moved", c.attempt.String(), "worker", string(w.id), "ran", e.at.Now.Sub(c.began).String())
+	e.emit(Stop{Addr: w.beat.Addr, Attempt: c.attempt, Inc: w.inc, Kind: EndEvicted, Reason: "runs much longer than its step"})
+}
+
+// avoidStraggler is how long a job's tasks keep away from where one straggled.
+const avoidStraggler = 10 * time.Second
