--- a/core/agent.go
+++ b/core/agent.go
@@ -107,10 +107,6 @@
 	case Tick:
 	case Inspected:
 		a.inspected(ev)
-	case WorkerLeaving:
-		a.drain()
-	case WorkerGone:
-		a.workerGone()
 	case EntriesRead:
 		a.entriesRead(ev)
 	case BeatAnswered:
@@ -133,11 +129,23 @@
 		a.called(ev)
 	case Leave:
 		a.leave(ev)
+	default:
+		a.workerSays(ev)
 	}
 	a.advance()
 	return a.out
 }
 
+// workerSays takes what the worker says of its own end.
+func (a *Agent) workerSays(ev AgentEvent) {
+	switch ev.(type) {
+	case WorkerLeaving:
+		a.drain()
+	case WorkerGone:
+		a.workerGone()
+	}
+}
+
 // advance does all that is due at the present time.
 func (a *Agent) advance() {
 	if a.exited {
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -68,6 +68,12 @@
 	return ok
 }
 
+// closed reports whether nothing new may start here for now.
+func (a *Agent) closed() bool {
+	out, _ := a.dcOut()
+	return out || a.leaving || a.fenced || a.draining
+}
+
 // checkOrder checks all that doesn't depend on the VM's room.
 func (a *Agent) checkOrder(o Order) Reason {
 	if !a.ready || a.workerQuiet() {
@@ -79,7 +85,7 @@
 	if _, ok := a.tombstones[o.Attempt]; ok {
 		return ReasonTombstone
 	}
-	if out, _ := a.dcOut(); out || a.leaving || a.fenced || a.draining {
+	if a.closed() {
 		return ReasonLeaving
 	}
 	if a.pol.on(guardPermit) && (o.Echo.Before(a.joined) || o.Echo.After(a.at.Now) || a.at.Now.Sub(o.Echo) > a.pol.Permit) {
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -67,13 +67,12 @@
 
 // beat returns what the agent says about its VM.
 func (a *Agent) beat() Beat {
-	out, _ := a.dcOut()
 	b := Beat{
 		Worker: a.site.Worker, Inc: a.inc, Run: a.site.Run, Addr: a.site.Addr,
 		DC: a.site.DC, Rack: a.rack, Labels: a.labels, Sent: a.at.Now,
 		Capacity: a.capacity, Committed: a.committed(), Batch: a.batch(), Used: a.used,
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
-		Config: a.config.rev, Leaving: a.leaving || out || a.fenced || a.draining || a.workerQuiet(),
+		Config: a.config.rev, Leaving: a.closed() || a.workerQuiet(),
 		Lapsed: a.lapsed(),
 	}
 	b.Tails, b.Fillers = a.tails(), a.reportedMix()
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -86,10 +86,8 @@
 	return x
 }
 
-func (a *askEntry) submit(steps ...core.StepSpec) {
-	if len(steps) == 0 {
-		steps = []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}
-	}
+func (a *askEntry) submit() {
+	steps := []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}
 	a.post(core.JobAsked{Token: 77, Ask: core.JobAsk{
 		Verb: core.JobSubmit, Path: askPath, Spec: core.JobSpec{Steps: steps}, By: a.now.Add(time.Second),
 	}})
--- a/core/rows.go
+++ b/core/rows.go
@@ -293,56 +293,35 @@
 func Decode(key string, b []byte) (Record, error) {
 	switch {
 	case key == KeyVersion:
-		var r VersionRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[VersionRow](key, b)
 	case key == KeyQueues:
-		var r QueuesRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[QueuesRow](key, b)
 	case strings.HasPrefix(key, PrefixConfig+"service/"):
-		var r ServiceRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[ServiceRow](key, b)
 	case strings.HasPrefix(key, PrefixConfig+"dc/"):
-		var r DCRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[DCRow](key, b)
 	case strings.HasPrefix(key, PrefixConfig+"team/"):
-		var r TeamRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[TeamRow](key, b)
 	case strings.HasPrefix(key, PrefixConfig+"policy/"):
-		var r PolicyRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[PolicyRow](key, b)
 	case strings.HasPrefix(key, PrefixPress):
-		var r PressRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[PressRow](key, b)
 	case strings.HasPrefix(key, PrefixEntry):
-		var r EntryRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[EntryRow](key, b)
 	case strings.HasPrefix(key, PrefixJob):
-		var r JobRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[JobRow](key, b)
 	case strings.HasPrefix(key, PrefixFence):
-		var r FenceRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[FenceRow](key, b)
 	case strings.HasPrefix(key, PrefixOp):
-		var r OpRow
-		err := unmarshal(key, b, &r)
-		return r, err
+		return decodeAs[OpRow](key, b)
 	}
 	return nil, fmt.Errorf("decode %s: unknown kind of row", key)
 }
 
-func unmarshal(key string, b []byte, r any) error {
-	if err := cbor.Unmarshal(b, r); err != nil {
-		return fmt.Errorf("decode %s: %w", key, err)
+func decodeAs[R Record](key string, b []byte) (Record, error) {
+	var r R
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return r, fmt.Errorf("decode %s: %w", key, err)
 	}
-	return nil
+	return r, nil
 }
