--- a/core/entryask.go
+++ b/core/entryask.go
@@ -165,14 +165,18 @@
 	if e.circuit.Open(e.at.Now) {
 		return ReasonStore
 	}
-	for _, st := range s.Steps {
-		if e.index.Len() > 0 && !e.index.Possible(st.Size) {
-			return ReasonNever
-		}
+	if e.impossible(s) {
+		return ReasonNever
 	}
 	return ReasonNone
 }
 
+// impossible reports whether a job has a step of which no known worker could hold a
+// task.
+func (e *Entry) impossible(s *JobSpec) bool {
+	return e.index.Len() > 0 && slices.ContainsFunc(s.Steps, func(st StepSpec) bool { return !e.index.Possible(st.Size) })
+}
+
 // unsupported reports whether a job asks for what is not built: periodic jobs
 // and gangs.
 func unsupported(s *JobSpec) bool {
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -125,7 +125,7 @@
 		e.edit(j, cancelEdit{n: n})
 		return
 	}
-	if !j.row.ready(n) {
+	if e.pol.on(guardSteps) && !j.row.ready(n) {
 		e.queue.remove(id)
 		return
 	}
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -420,7 +420,7 @@
 	if j.never.IsZero() {
 		j.never = e.at.Now
 	}
-	if e.at.Now.Sub(j.never) > parkAfter && len(j.row.Spec.Steps) == 0 {
+	if e.at.Now.Sub(j.never) > parkAfter && j.row.Spec.Queue == "" {
 		e.count("park", ReasonNever)
 		e.edit(j, parkEdit{n: n, reason: "no worker could ever hold it"})
 	}
--- a/core/export_test.go
+++ b/core/export_test.go
@@ -1,6 +1,9 @@
 package core
 
-// Guards lists the names of the protections that Off switches off.
+import "slices"
+
+// Guards lists the names of the protections that Off switches off, less the one of
+// jobs of steps, which needs runs of its own.
 var Guards = []string{
 	"permit", "fencewait", "lease", "admission", "attempt", "dedupe", "tombstone",
 	"readback", "config", "op", "incarnation", "claimdc", "claimfence", "ambiguous",
@@ -8,7 +11,7 @@
 
 // Off switches one protection off.
 func Off(name string) Option {
-	for i, g := range Guards {
+	for i, g := range append(slices.Clone(Guards), "steps") {
 		if g == name {
 			return func(p *Policy) { p.off |= guard(1) << i }
 		}
--- a/core/fuzz_test.go
+++ b/core/fuzz_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -135,6 +136,47 @@
 	}
 }
 
+// withSteps returns the script with jobs of steps in place of its other jobs.
+func (s script) withSteps() script {
+	s.Actions = slices.Clone(s.Actions)
+	for i, a := range s.Actions {
+		if sub, ok := a.(fake.Submit); ok && !sub.Once {
+			sub.Steps = true
+			s.Actions[i] = sub
+		}
+	}
+	return s
+}
+
+// TestSeedsOfSteps plays the scripts of TestSeeds with jobs of steps.
+func TestSeedsOfSteps(t *testing.T) {
+	count := *manySeeds
+	if testing.Short() {
+		count = min(count, 10)
+	}
+	for i := range count {
+		seed := *fromSeed + i
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			s := scripts.Example(seed).withSteps()
+			if found := s.run(); len(found) > 0 {
+				t.Errorf("%v\n%s", found, s.reduce())
+			}
+		})
+	}
+}
+
+// TestMutantOfSteps requires that the same runs notice steps that don't wait.
+func TestMutantOfSteps(t *testing.T) {
+	for seed := range 50 {
+		s := scripts.Example(seed).withSteps()
+		if len(s.run(fake.CoreOptions(core.Off("steps")))) > 0 && len(s.run()) == 0 {
+			return
+		}
+	}
+	t.Error("50 runs without the order of steps found nothing")
+}
+
 // TestSame requires that the same run gives the same effects.
 func TestSame(t *testing.T) {
 	for seed := range 5 {
--- a/core/plan.go
+++ b/core/plan.go
@@ -95,16 +95,23 @@
 		return plan{}, refused("job %q exists", spec.ID)
 	case spec.ID == "":
 		return plan{}, refused("a job needs an id")
-	case len(spec.Inputs) == 0 || len(spec.Inputs) > MaxTasks:
-		return plan{}, refused("a job has 1 to %d tasks, not %d", MaxTasks, len(spec.Inputs))
+	case len(spec.Steps) > 0 && spec.CheckSteps() != "":
+		return plan{}, refused("%s", spec.CheckSteps())
+	case spec.Len() == 0 || spec.Len() > MaxTasks:
+		return plan{}, refused("a job has 1 to %d tasks, not %d", MaxTasks, spec.Len())
+	case len(spec.Steps) > 0:
+		if e.impossible(&spec) {
+			e.count("command", ReasonNever)
+			return plan{}, refused("no worker could hold a task of one of its steps")
+		}
 	case spec.Size.Millicores <= 0 || spec.Size.MemoryMB < 0 || spec.Size.Accelerators < 0:
 		return plan{}, refused("a task needs some processor: %v", spec.Size)
 	case e.index.Len() > 0 && !e.index.Possible(spec.Size):
 		e.count("command", ReasonNever)
 		return plan{}, refused("no worker could hold a task of %v", spec.Size)
 	}
-	row := JobRow{Spec: spec, Tasks: make([]TaskRow, len(spec.Inputs)), Accepted: e.at.Now, Op: c.id}
-	return plan{rec: row, text: fmt.Sprintf("job %q accepted, %d tasks", spec.ID, len(spec.Inputs))}, nil
+	row := JobRow{Spec: spec, Tasks: make([]TaskRow, spec.Len()), Accepted: e.at.Now, Op: c.id}
+	return plan{rec: row, text: fmt.Sprintf("job %q accepted, %d tasks", spec.ID, spec.Len())}, nil
 }
 
 func (e *Entry) planCancel(cmd CancelJob, old Record) (plan, *CommandResult) {
--- a/core/policy.go
+++ b/core/policy.go
@@ -195,6 +195,7 @@
 	guardClaimDC                       // entry: a claim checks the data centre's row
 	guardClaimFence                    // entry: a claim checks the fence row
 	guardAmbiguous                     // entry: a non-idempotent request is not sent twice
+	guardSteps                         // entry: a step waits for those before it
 )
 
 // on reports whether the protection is in force.
--- a/fake/action.go
+++ b/fake/action.go
@@ -20,6 +20,9 @@
 	Class  string
 	Urgent bool
 	Once   bool
+	// Steps makes a job of two or more tasks one of two steps, the second of
+	// which waits for the first.
+	Steps bool
 }
 
 // Cancel cancels the last jobs that were submitted.
--- a/fake/do.go
+++ b/fake/do.go
@@ -64,6 +64,15 @@
 	if spec.Size == (core.Size{}) {
 		spec.Size = core.Size{Millicores: 1000, MemoryMB: 1000}
 	}
+	if a.Steps && a.Tasks > 1 {
+		first := a.Tasks / 2
+		spec.Steps = []core.StepSpec{
+			{Count: first, Size: spec.Size},
+			{Count: a.Tasks - first, Size: spec.Size, After: []int{0}},
+		}
+		w.client.submit(a.Entry, spec)
+		return
+	}
 	for i := range max(a.Tasks, 1) {
 		spec.Inputs = append(spec.Inputs, fmt.Sprintf("input %d", i))
 	}
--- a/fake/oracle.go
+++ b/fake/oracle.go
@@ -39,6 +39,7 @@
 	PointCommand Point = "command" // a command takes effect once, as answered
 	PointClaim   Point = "claim"   // claims rest on the table's state when they commit
 	PointLive    Point = "live"    // with failures over, all ends
+	PointOrder   Point = "order"   // a step starts after those that it waits for
 )
 
 // Violation is something that the oracle saw and that must never be.
--- a/fake/truth.go
+++ b/fake/truth.go
@@ -49,6 +49,9 @@
 	if row.Spec.Once && h.launches > 0 && !h.saved {
 		o.fail(PointOnce, "%s runs again without a checkpoint", a)
 	}
+	for _, before := range row.Spec.Step(a.Task.N).After {
+		o.stepDone(a, row, before)
+	}
 	if from.did < h.did {
 		o.fail(PointResume, "%s resumes at %s, but was evicted at %s", a, from.did, h.did)
 	}
@@ -56,6 +59,17 @@
 	h.last = max(h.last, a.Number)
 }
 
+// stepDone checks that a step is done in the table as an attempt starts that waits
+// for it.
+func (o *Oracle) stepDone(a core.Attempt, row core.JobRow, step int) {
+	for i := range row.Spec.Steps[step].Count {
+		n, ok := row.Spec.TaskOf(step, i)
+		if !ok || row.Tasks[n].State != core.TaskDone {
+			o.fail(PointOrder, "%s starts before task %d of step %d is done", a, i, step)
+		}
+	}
+}
+
 // saved records a checkpoint.
 func (o *Oracle) saved(id core.TaskID, _ uint32, did time.Duration) {
 	h := o.task(id)
