--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -361,3 +361,26 @@
 	}
 	t.Fatal("the straggler is never moved")
 }
+
+// Several callers wait for the same submission when it is taken back: all are
+// answered, and the entry goes on.
+func TestAllWhoWaitAreRefused(t *testing.T) {
+	a := newAskEntry(t)
+	a.submit() // its transaction blocks the group: the table does not answer
+	need[core.Commit](a)
+	for token := range core.Token(3) {
+		a.post(core.JobAsked{Token: 80 + token, Ask: core.JobAsk{
+			Verb: core.JobSubmit, Path: "/q/late", By: a.now.Add(time.Second),
+			Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
+		}})
+	}
+	a.now = a.now.Add(1100 * time.Millisecond)
+	a.post(core.Tick{})
+	refused := 0
+	for _, eff := range a.out {
+		if r, ok := eff.(core.JobReply); ok && r.Token >= 80 && r.Answer.Outcome == core.JobRefused {
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 3)
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -284,9 +284,9 @@
 // submission of which nothing was sent is surely without effect.
 func (e *Entry) asksDue() {
 	for _, t := range slices.Sorted(maps.Keys(e.asks)) {
-		a := e.asks[t]
-		if e.at.Now.Before(a.By) {
-			continue
+		a, open := e.asks[t]
+		if !open || e.at.Now.Before(a.By) {
+			continue // one that is withdrawn answers all who wait for the same job
 		}
 		if a.Verb == JobSubmit && e.withdraw(a) {
 			continue
--- a/core/plan.go
+++ b/core/plan.go
@@ -97,13 +97,13 @@
 		return plan{}, refused("a job needs an id")
 	case len(spec.Steps) > 0 && spec.CheckSteps() != "":
 		return plan{}, refused("%s", spec.CheckSteps())
-	case spec.Len() == 0 || spec.Len() > MaxTasks:
-		return plan{}, refused("a job has 1 to %d tasks, not %d", MaxTasks, spec.Len())
 	case len(spec.Steps) > 0:
 		if e.impossible(&spec) {
 			e.count("command", ReasonNever)
 			return plan{}, refused("no worker could hold a task of one of its steps")
 		}
+	case len(spec.Inputs) == 0 || len(spec.Inputs) > MaxTasks:
+		return plan{}, refused("a job has 1 to %d tasks, not %d", MaxTasks, len(spec.Inputs))
 	case spec.Size.Millicores <= 0 || spec.Size.MemoryMB < 0 || spec.Size.Accelerators < 0:
 		return plan{}, refused("a task needs some processor: %v", spec.Size)
 	case e.index.Len() > 0 && !e.index.Possible(spec.Size):
--- a/core/rows.go
+++ b/core/rows.go
@@ -31,8 +31,11 @@
 // Shards is the number of shards that jobs are spread over.
 const Shards = 32
 
-// MaxTasks is the largest number of tasks in one job.
-const MaxTasks = 1024
+// MaxTasks is the largest number of tasks in one job, MaxStepTasks in one of steps.
+const (
+	MaxTasks     = 256
+	MaxStepTasks = 1024
+)
 
 // ServiceRow configures a service that callers send requests to.
 type ServiceRow struct {
--- a/core/steps.go
+++ b/core/steps.go
@@ -245,7 +245,7 @@
 			}
 		}
 	}
-	if s.Len() > MaxTasks {
+	if s.Len() > MaxStepTasks {
 		return "the job has too many tasks"
 	}
 	return ""
