press, pace: learnt from changes, weighed by how fillers work; speeds for each filler

Cause: fillers of most images were thought to press on most lasting tasks. The estimates before were blurred (heavy 1.5, light 0.4, 10 of 40 light pairs above 0.8), because the lasting tasks' own swing was taken for press. Ruled out: room by processors (fillers get what their speed gives them). Change: recursive least squares on changes with the covariance of the fillers beside an image; a weight by use, to the third power (0.68 against 1 fits 0.31); saturated tails say at least as much; each filler has its own speed, the hardest slowed first, light ones up at once; a filler is placed only where the tails stay calm (0.5) by what it adds; a stuck job takes any place only while the site is less than 0.6 in use. Over-target time is still 1 in 20 task-seconds; slowed fillers stay where they are, which is next.

--- a/core/agent.go
+++ b/core/agent.go
@@ -50,7 +50,10 @@
 	serve serveState
 	pace  pace.Control // of the fillers
 	press []ImagePress // of their images, as an entry has learnt it
-	// fillerMix holds the fillers' processors at their speeds, in thousandths of
+	// windows counts the steps of pace, tails holds what the last one was by.
+	windows uint64
+	tails   []ImageTail
+	// fillerMix holds the fillers' processors as FillerLoad does, in thousandths of
 	// a core, smoothed, by image.
 	fillerMix map[string]float64
 
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -75,7 +75,7 @@
 		Config: a.config.rev, Leaving: a.closed() || a.workerQuiet(),
 		Lapsed: a.lapsed(),
 	}
-	b.Tails, b.Fillers = a.tails(), a.reportedMix()
+	b.Window, b.Tails, b.Fillers = a.windows, a.tails, a.reportedMix()
 	for _, t := range a.heldInOrder() {
 		b.Running = append(b.Running, t.order.Attempt)
 		if t.order.Target > 0 {
@@ -94,21 +94,11 @@
 	return b
 }
 
-// tails returns the worst tails of the lasting tasks, by image.
-func (a *Agent) tails() []ImageTail {
-	worst := a.pace.Worst()
-	var ts []ImageTail
-	for _, image := range slices.Sorted(maps.Keys(worst)) {
-		ts = append(ts, ImageTail{Image: image, Worst: worst[image]})
-	}
-	return ts
-}
-
 // reportedMix returns the smoothed fillers, by image.
 func (a *Agent) reportedMix() []FillerLoad {
 	var ls []FillerLoad
 	for _, image := range slices.Sorted(maps.Keys(a.fillerMix)) {
-		ls = append(ls, FillerLoad{Image: image, Millicores: int64(a.fillerMix[image]), Percent: a.pace.Percent(image)})
+		ls = append(ls, FillerLoad{Image: image, Millicores: int64(a.fillerMix[image])})
 	}
 	return ls
 }
--- a/core/agentpace.go
+++ b/core/agentpace.go
@@ -3,53 +3,99 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"jayloft/pace"
+	"jayloft/press"
 )
 
+// useAfter is how long after a change of its speed the measured use of a filler is
+// of the new speed: the worker measures windows of half a second, and takes a
+// change within a tenth.
+const useAfter = 700 * time.Millisecond
+
 // paceFillers sets the speeds of the VM's fillers by how its lasting tasks fare.
 func (a *Agent) paceFillers() {
 	for _, t := range a.held {
-		if t.started && t.stopping == "" {
-			a.pace.Observe(t.order.Class, t.tail, t.order.Target)
+		if !t.started || t.stopping != "" {
+			continue
+		}
+		a.pace.Observe(t.order.Class, t.tail, t.order.Target)
+		t.noteUse(a.at.Now)
+	}
+	if a.pace.Step(a.at.Now, a.fillers()) {
+		a.windows++
+		a.tails = a.tailsNow()
+		a.smoothMix()
+		for _, t := range a.heldInOrder() {
+			a.paceTask(t)
 		}
 	}
-	if !a.pace.Step(a.at.Now, a.fillers()) {
-		a.paceNew()
+	a.paceNew()
+}
+
+// noteUse takes which part of the processors that its speed gives it a filler uses.
+func (t *heldTask) noteUse(now time.Time) {
+	given := t.order.Size.Millicores * int64(pace.Full-t.taken) / pace.Full
+	if !t.order.Filler || t.used <= 0 || given <= 0 || now.Sub(t.pacedAt) < useAfter {
 		return
 	}
-	a.smoothMix()
-	for _, t := range a.heldInOrder() {
-		a.paceTask(t)
+	t.use = float64(t.used) / float64(given)
+}
+
+// fillerLoad describes a filler to the control of the speeds.
+func (a *Agent) fillerLoad(t *heldTask) pace.Load {
+	return pace.Load{
+		Task: t.order.Attempt.String(), Use: t.use,
+		Share: float64(t.order.Size.Millicores) / float64(max(a.capacity.Millicores, 1)),
+		Press: pressOf(a.press, t.order.Class),
 	}
 }
 
-// fillers returns the fillers on the VM by image.
+// fillers returns the fillers on the VM that have a speed.
 func (a *Agent) fillers() []pace.Load {
-	cores := map[string]int64{}
+	var loads []pace.Load
+	for _, t := range a.heldInOrder() {
+		if t.order.Filler && t.admitted {
+			loads = append(loads, a.fillerLoad(t))
+		}
+	}
+	return loads
+}
+
+// tailsNow returns the tails of the lasting tasks, by image.
+func (a *Agent) tailsNow() []ImageTail {
+	by := map[string]ImageTail{}
 	for _, t := range a.held {
-		if t.order.Filler {
-			cores[t.order.Class] += t.order.Size.Millicores
+		if !t.started || t.stopping != "" || t.order.Target <= 0 || t.tail <= 0 {
+			continue
 		}
+		x := by[t.order.Class]
+		part := float64(t.tail) / float64(t.order.Target)
+		x.Image, x.Worst = t.order.Class, max(x.Worst, part)
+		x.Busy += press.Busy(part)
+		x.Tasks++
+		by[t.order.Class] = x
 	}
-	var loads []pace.Load
-	for _, image := range slices.Sorted(maps.Keys(cores)) {
-		share := float64(cores[image]) / float64(max(a.capacity.Millicores, 1))
-		loads = append(loads, pace.Load{Image: image, Share: share, Press: pressOf(a.press, image)})
+	var ts []ImageTail
+	for _, image := range slices.Sorted(maps.Keys(by)) {
+		x := by[image]
+		x.Busy /= float64(x.Tasks)
+		ts = append(ts, x)
 	}
-	return loads
+	return ts
 }
 
 // mixSmoothing is the weight of the newest window in the mix that is reported. A
-// tail takes two windows to show that a filler has come or gone.
-const mixSmoothing = 0.5
+// tail takes two windows to show all of a change.
+const mixSmoothing = 0.66
 
 // smoothMix takes one window's fillers, at their speeds, into the mix.
 func (a *Agent) smoothMix() {
 	now := map[string]float64{}
 	for _, t := range a.held {
 		if t.order.Filler && t.started {
-			now[t.order.Class] += float64(t.order.Size.Millicores) * float64(pace.Full-t.taken) / pace.Full
+			now[t.order.Class] += t.pressing()
 		}
 	}
 	for image := range now {
@@ -65,6 +111,16 @@
 	}
 }
 
+// pressing returns the processors of a filler at its speed, weighed by how it uses
+// them, in thousandths of a core.
+func (t *heldTask) pressing() float64 {
+	weight := press.UnknownWeight
+	if t.use > 0 {
+		weight = press.Weight(t.use)
+	}
+	return float64(t.order.Size.Millicores) * float64(pace.Full-t.taken) / pace.Full * weight
+}
+
 // pressOf returns the press of a filler's image by the images of lasting tasks.
 func pressOf(pairs []ImagePress, filler string) map[string]float64 {
 	m := map[string]float64{}
@@ -76,23 +132,25 @@
 	return m
 }
 
-// paceNew gives fillers that have just started the speed of their image.
+// paceNew gives fillers that have just started their first speed.
 func (a *Agent) paceNew() {
 	for _, t := range a.heldInOrder() {
-		if t.taken == 0 {
+		if t.order.Filler && t.started && !t.admitted {
+			t.admitted = true
+			a.pace.Admit(a.fillerLoad(t))
 			a.paceTask(t)
 		}
 	}
 }
 
-// paceTask gives a filler the speed of its image.
+// paceTask gives a filler the speed that was decided.
 func (a *Agent) paceTask(t *heldTask) {
-	percent := a.pace.Percent(t.order.Class)
-	if !t.order.Filler || !t.started || t.stopping != "" || pace.Full-t.taken == percent {
+	percent := a.pace.Percent(t.order.Attempt.String())
+	if !t.admitted || !t.started || t.stopping != "" || pace.Full-t.taken == percent {
 		return
 	}
 	a.tell("filler paced", t.order.Attempt.String(), "percent", percent, "was", pace.Full-t.taken,
-		"image", t.order.Class, "press", pressOf(a.press, t.order.Class), "tails", a.pace.Worst())
-	t.percent, t.taken = percent, pace.Full-percent
+		"image", t.order.Class, "use", t.use, "press", pressOf(a.press, t.order.Class), "tails", a.pace.Worst())
+	t.percent, t.taken, t.pacedAt = percent, pace.Full-percent, a.at.Now
 	a.emit(Control{Attempt: t.order.Attempt, Verb: VerbThrottle, Percent: percent})
 }
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -21,6 +21,10 @@
 	saved    time.Time     // last checkpoint, or the start
 	percent  int           // of full speed; zero if never changed
 	taken    int           // percent of full speed taken from a filler
+	admitted bool          // a filler has got its first speed
+	pacedAt  time.Time     // when a filler's speed last changed
+	used     int64         // thousandths of a core, as the worker measured them last
+	use      float64       // see pace.Load
 	moved    bool          // its claim is another's: its end is of no use
 	expect   Size          // by what its class was seen to use
 	tail     time.Duration // of a lasting task, as the worker measured it last
@@ -225,7 +229,8 @@
 	case ev.Started:
 		t.started = true
 		a.tell("task started", ev.Attempt.String(), "step", t.order.Step, "index", t.order.Index,
-			"filler", t.order.Filler, "target", t.order.Target.String(), "size", t.order.Size.Millicores)
+			"filler", t.order.Filler, "target", t.order.Target.String(), "size", t.order.Size.Millicores,
+			"image", t.order.Class)
 		a.renewTask(t)
 		a.beatSoon() // an entry may want it to run slower
 	case ev.Again:
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -25,6 +25,9 @@
 	// fillerPatience is how long a job may have nothing running to spare lasting
 	// tasks: half of what callers' rules allow a task whose turn has come.
 	fillerPatience = 1500 * time.Millisecond
+	// siteBusy is the part of a site's capacity from which on it is too busy for
+	// that: callers' rules say a half, and what is known of the site is late.
+	siteBusy = 0.6
 	// retryPlace is how long a queue without room waits if nothing changes.
 	retryPlace = 250 * time.Millisecond
 )
@@ -110,13 +113,14 @@
 	}
 	w := e.workers[id]
 	delete(j.waits, t.N)
+	adds, _ := e.added(w, spec.Step(t.N).Image, spec.Step(t.N).fills())
 	number := j.row.Tasks[t.N].Attempt + 1
 	h := Holder{Worker: w.id, Inc: w.inc}
 	e.claim(j, j.newClaim(t.N, number, h, e.at.Now))
 	e.measure("place", q.since)
 	e.tell("task placed", Attempt{Task: t, Number: number}.String(), "worker", string(w.id), "inc", string(w.inc),
 		"free", w.beat.Capacity.Minus(w.beat.Committed).Millicores, "size", j.row.Spec.Step(t.N).Size.Millicores,
-		"heard", e.at.Now.Sub(w.heard).String(), "due", j.row.Due().Sub(e.at.Now).String())
+		"adds", adds, "heard", e.at.Now.Sub(w.heard).String(), "due", j.row.Due().Sub(e.at.Now).String())
 	e.edit(j, claimEdit{n: t.N, number: number, holder: h, dc: w.beat.DC, by: e.site.ID})
 	return true
 }
@@ -162,7 +166,7 @@
 		return e.firstFit(need)
 	}
 	if len(j.row.Spec.Steps) > 0 {
-		stuck := len(j.claims) == 0 && e.at.Now.Sub(q.since) > fillerPatience
+		stuck := len(j.claims) == 0 && e.at.Now.Sub(q.since) > fillerPatience && e.index.Firm() < siteBusy
 		id, ok := e.pickApart(need, st, stuck, seed)
 		return WorkerID(id), ok
 	}
--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -11,10 +11,10 @@
 const (
 	// bearTail is the tail, as a part of its target, up to which more fillers are
 	// placed beside a lasting task.
-	bearTail = 0.75
+	bearTail = 0.5
 	// mildPress is the utilization that one filler may add to any lasting task:
 	// less than the measurements' own noise.
-	mildPress = 0.02
+	mildPress = 0.03
 	// bearTries bounds the workers that are looked at for one filler.
 	bearTries = 12
 )
@@ -22,12 +22,15 @@
 // observePress learns from a beat how hard fillers press, and tells the agent
 // what is known of its own.
 func (e *Entry) observePress(w *workerView, ans *BeatAnswer) {
-	var loads []press.Load
+	window := press.Window{Number: w.beat.Window}
 	for _, f := range w.beat.Fillers {
-		loads = append(loads, press.Load{Image: f.Image, Share: w.share(f.Millicores)})
+		window.Loads = append(window.Loads, press.Load{Image: f.Image, Share: w.share(f.Millicores)})
 	}
 	for _, t := range w.beat.Tails {
-		e.press.Observe(string(w.id), t.Image, t.Worst, loads)
+		window.Tails = append(window.Tails, press.Tail{Image: t.Image, Busy: t.Busy, Tasks: t.Tasks})
+	}
+	e.press.Observe(string(w.id), window)
+	for _, t := range w.beat.Tails {
 		for _, f := range w.beat.Mix {
 			ans.Press = append(ans.Press, ImagePress{Lasting: t.Image, Filler: f.Class, Press: e.press.Press(t.Image, f.Class)})
 		}
@@ -110,13 +113,13 @@
 func (e *Entry) added(w *workerView, image string, size Size) (most float64, borne bool) {
 	borne = true
 	for _, t := range w.tailsOn() {
-		added := e.press.Press(t.Image, image) * w.share(size.Millicores)
+		added := e.press.Press(t.Image, image) * press.UnknownWeight * w.share(size.Millicores)
 		if added <= mildPress {
 			continue
 		}
 		for _, c := range w.claims {
 			if c.holder.Inc == w.inc && !c.listed && c.soft.Millicores > 0 {
-				added += e.press.Press(t.Image, c.class) * w.share(c.soft.Millicores)
+				added += e.press.Press(t.Image, c.class) * press.UnknownWeight * w.share(c.soft.Millicores)
 			}
 		}
 		most = max(most, added)
--- a/core/event.go
+++ b/core/event.go
@@ -161,6 +161,7 @@
 	Lasting   int64    // thousandths of a core that lasting tasks hold
 	Tails     []ImageTail
 	Fillers   []FillerLoad
+	Window    uint64 // counts the windows that Tails and Fillers are of
 	// Gone lists earlier incarnations that this one vouches are dead, as
 	// asked by BeatAnswer.Prior.
 	Gone []Incarnation
@@ -181,19 +182,20 @@
 	Running int
 }
 
-// ImageTail is the worst tail of a VM's lasting tasks of one image of late, as a
-// part of its target.
+// ImageTail is the tails of a VM's lasting tasks of one image in the last window.
 type ImageTail struct {
 	Image string
-	Worst float64
+	Worst float64 // the largest, as a part of its target
+	Busy  float64 // the mean utilization, see package press
+	Tasks int     // that it is the mean of
 }
 
 // FillerLoad is what a VM's fillers of one image take of the processors at their
-// speeds, in thousandths of a core, smoothed over the time that tails cover.
+// speeds, weighed by how they use them (see package press), in thousandths of a
+// core, smoothed over the time that tails cover.
 type FillerLoad struct {
 	Image      string
 	Millicores int64
-	Percent    int // their speed
 }
 
 // ImagePress is how hard fillers of one image press on lasting tasks of another,
--- a/core/steps.go
+++ b/core/steps.go
@@ -51,6 +51,15 @@
 // the processors is only what others leave.
 func (s StepSpec) Firm() Size { return firmSize(s.Size, s.Filler) }
 
+// fills returns what a task of the step takes of the processors that other tasks
+// leave unused.
+func (s StepSpec) fills() Size {
+	if !s.Filler {
+		return Size{}
+	}
+	return s.Size
+}
+
 func firmSize(s Size, filler bool) Size {
 	if filler {
 		s.Millicores = 0
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -36,6 +36,7 @@
 		Tails:       each(b.Tails, tailToWire),
 		Fillers:     each(b.Fillers, fillerToWire),
 		Lasting:     b.Lasting,
+		Window:      b.Window,
 	}
 }
 
@@ -79,6 +80,7 @@
 		Tails:     each(m.GetTails(), tailFromWire),
 		Fillers:   each(m.GetFillers(), fillerFromWire),
 		Lasting:   m.GetLasting(),
+		Window:    m.GetWindow(),
 	}
 	return b, f.err("beat")
 }
@@ -115,19 +117,19 @@
 }
 
 func tailToWire(t core.ImageTail) *wire.ImageTail {
-	return &wire.ImageTail{Image: t.Image, Worst: t.Worst}
+	return &wire.ImageTail{Image: t.Image, Worst: t.Worst, Busy: t.Busy, Tasks: int32(t.Tasks)}
 }
 
 func tailFromWire(t *wire.ImageTail) core.ImageTail {
-	return core.ImageTail{Image: t.GetImage(), Worst: t.GetWorst()}
+	return core.ImageTail{Image: t.GetImage(), Worst: t.GetWorst(), Busy: t.GetBusy(), Tasks: int(t.GetTasks())}
 }
 
 func fillerToWire(f core.FillerLoad) *wire.FillerLoad {
-	return &wire.FillerLoad{Image: f.Image, Millicores: f.Millicores, Percent: int32(f.Percent)}
+	return &wire.FillerLoad{Image: f.Image, Millicores: f.Millicores}
 }
 
 func fillerFromWire(f *wire.FillerLoad) core.FillerLoad {
-	return core.FillerLoad{Image: f.GetImage(), Millicores: f.GetMillicores(), Percent: int(f.GetPercent())}
+	return core.FillerLoad{Image: f.GetImage(), Millicores: f.GetMillicores()}
 }
 
 func pressToWire(p core.ImagePress) *wire.ImagePress {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -2,18 +2,20 @@
 // may run beside lasting tasks that answer users.
 //
 // It answers one load pattern: fillers and lasting tasks share a VM, the fillers
-// slow the lasting tasks' answers down by an amount that differs much by image,
-// and the only sign is a tail latency that is half a second old. While a tail is
-// near or over its target, the control slows those fillers that add most to it, as
-// far as is needed by what is known of their press (package press), and leaves the
-// others alone. It raises speeds step by step as far as the tails bear it.
+// slow the lasting tasks' answers down by an amount that differs much by image and
+// by how each filler works at the moment, and the only sign is a tail latency that
+// is half a second old. While a tail is near or over its target, the control slows
+// those fillers that add most to it for what they get done, as far as is needed by
+// what is known of their press (package press), and leaves the others alone. It
+// raises speeds step by step as far as the tails bear it, those that press least
+// first.
 //
 // # Usage
 //
 //	var c pace.Control
 //	c.Observe("api", 90*time.Millisecond, 100*time.Millisecond)
-//	c.Step(now, []pace.Load{{Image: "a", Share: 0.2, Press: map[string]float64{"api": 1.5}}})
-//	percent := c.Percent("a")
+//	c.Step(now, []pace.Load{{Task: "j.1#1", Share: 0.2, Use: 0.7, Press: map[string]float64{"api": 1.5}}})
+//	percent := c.Percent("j.1#1")
 package pace
 
 import (
@@ -30,46 +32,69 @@
 	step = 500 * time.Millisecond
 	// nearTarget is the part of its target from which on a tail counts as
 	// endangered, so that the reaction comes before the target is missed.
-	nearTarget = 0.95
+	nearTarget = 0.9
 	// speedUp is what a speed is multiplied with, and firstUp the least that is
 	// added, in percent, in one step.
 	speedUp = 1.6
 	firstUp = 15
+	// mild is the utilization that a filler at full speed may add to get it at once.
+	mild = 0.03
 	// least is the lowest speed that is worth running at, in percent.
 	least = 5
-	// patience is how long a target may be missed on end until all fillers stop,
-	// whatever is known of them: users bear 4 s, and a tail takes one to fall.
-	patience = 1500 * time.Millisecond
+	// patience is how long a target may be missed on end until all fillers that are
+	// known to press on it stop, and lastPatience until all do, whatever is known of
+	// them: users bear 4 s, and a tail takes one to fall.
+	patience     = 1500 * time.Millisecond
+	lastPatience = 2 * time.Second
 	// firstPress is assumed of a pair that nothing is known of.
-	firstPress = 2.5
+	firstPress = 1.0
 )
 
 // Full is full speed, in percent.
 const Full = 100
 
-// Load is the fillers of one image on the VM.
+// Load is a filler on the VM.
 type Load struct {
-	Image string
-	Share float64 // part of the VM that they take at full speed, in [0, 1]
-	// Press holds what utilization a VM full of them adds to lasting tasks, by
-	// the latter's image; see package press.
+	Task  string  // names it on the VM
+	Share float64 // part of the VM that it takes at full speed, in [0, 1]
+	// Use is the part that it uses of the processors that its speed gives it, in
+	// (0, 1]; zero if it was not measured.
+	Use float64
+	// Press holds what utilization a VM full of its image adds to lasting tasks,
+	// by the latter's image; see package press.
 	Press map[string]float64
 }
 
-// press returns the load's press on the lasting tasks of an image.
+// weight returns how hard the filler presses by its use of the processors.
+func (l *Load) weight() float64 {
+	if l.Use <= 0 {
+		return press.UnknownWeight
+	}
+	return press.Weight(l.Use)
+}
+
+// press returns what utilization a VM full of the filler would add to lasting
+// tasks of an image.
 func (l *Load) press(lasting string) float64 {
-	if p, ok := l.Press[lasting]; ok {
-		return p
+	p, ok := l.Press[lasting]
+	if !ok {
+		p = firstPress
 	}
-	return firstPress
+	return p * l.weight()
+}
+
+// cost returns the utilization that the filler adds at a speed, in percent.
+func (l *Load) cost(lasting string, percent float64) float64 {
+	return l.press(lasting) * l.Share * percent / Full
 }
 
 // Control holds the speeds of the fillers of one VM. The zero value runs all at
 // full speed.
 type Control struct {
-	percent map[string]int       // of images that don't run at full speed
+	percent map[string]int       // of tasks that don't run at full speed
 	worst   map[string]float64   // tail to target since the last step, by image
 	last    map[string]float64   // the same of the step before
+	room    map[string]float64   // utilization that may still be added, by image
 	missed  map[string]time.Time // since when targets are missed on end, by image
 	next    time.Time
 }
@@ -89,9 +114,9 @@
 // targets, by the lasting tasks' images.
 func (c *Control) Worst() map[string]float64 { return c.last }
 
-// Percent returns the speed for fillers of an image.
-func (c *Control) Percent(image string) int {
-	if p, ok := c.percent[image]; ok {
+// Percent returns the speed of a filler.
+func (c *Control) Percent(task string) int {
+	if p, ok := c.percent[task]; ok {
 		return p
 	}
 	return Full
@@ -104,82 +129,131 @@
 		return false
 	}
 	c.next = now.Add(step)
-	c.speed(loads)
-	for _, image := range slices.Sorted(maps.Keys(c.worst)) {
-		c.slow(image, loads)
+	c.forget(loads)
+	c.room = map[string]float64{}
+	for image, worst := range c.worst {
+		c.room[image] = press.Busy(nearTarget) - press.Busy(worst)
 	}
-	if c.missedLong(now) {
-		for _, l := range loads {
-			c.set(l.Image, 0)
-		}
+	images := slices.Sorted(maps.Keys(c.room))
+	for _, image := range images {
+		c.slow(image, loads)
 	}
+	c.speed(loads)
+	c.stop(now, loads)
 	c.last, c.worst = c.worst, nil
 	return true
 }
 
-// missedLong notes which targets are missed, and reports whether one is for too
-// long.
-func (c *Control) missedLong(now time.Time) bool {
-	missed := map[string]time.Time{}
-	long := false
-	for image, worst := range c.worst {
-		if worst <= 1 {
-			continue
-		}
-		since, ok := c.missed[image]
-		if !ok {
-			since = now
-		}
-		missed[image] = since
-		long = long || now.Sub(since) >= patience
+// Admit sets the speed of a filler that starts between two steps: what the room
+// that is left bears.
+func (c *Control) Admit(l Load) {
+	up := c.bearable(&l, Full)
+	c.take(&l, up)
+	c.set(l.Task, int(up))
+}
+
+// forget drops the speeds of fillers that have gone.
+func (c *Control) forget(loads []Load) {
+	here := make(map[string]bool, len(loads))
+	for _, l := range loads {
+		here[l.Task] = true
 	}
-	c.missed = missed
-	return long
+	maps.DeleteFunc(c.percent, func(task string, _ int) bool { return !here[task] })
 }
 
-// slow takes speed from the fillers that add most to the tail of a lasting image,
-// until it should be back at its target.
+// slow takes speed from the fillers that add most to the tail of a lasting image
+// for what they get done, until it should be back at its target.
 func (c *Control) slow(lasting string, loads []Load) {
-	excess := press.Busy(c.worst[lasting]) - press.Busy(nearTarget)
-	byAdded := slices.SortedStableFunc(slices.Values(loads), func(a, b Load) int {
-		return cmp.Compare(c.added(lasting, b), c.added(lasting, a))
+	byPress := slices.SortedStableFunc(slices.Values(loads), func(a, b Load) int {
+		return cmp.Compare(b.press(lasting), a.press(lasting))
 	})
-	for _, l := range byAdded {
-		added := c.added(lasting, l)
-		if excess <= 0 || added <= 0 {
+	for _, l := range byPress {
+		p := float64(c.Percent(l.Task))
+		added := l.cost(lasting, p)
+		if c.room[lasting] >= 0 || added <= 0 {
 			return
 		}
-		part := min(excess/added, 1)
-		excess -= added * part
-		c.set(l.Image, int(float64(c.Percent(l.Image))*(1-part)))
+		down := p * min(-c.room[lasting]/added, 1)
+		c.take(&l, -down)
+		c.set(l.Task, int(p-down))
 	}
 }
 
-// added returns the utilization that a filler adds at its present speed.
-func (c *Control) added(lasting string, l Load) float64 {
-	return l.press(lasting) * l.Share * float64(c.Percent(l.Image)) / Full
-}
-
-// speed raises speeds as far as the room below each target is thought to bear.
+// speed raises speeds as far as the room below each target is thought to bear, of
+// the fillers that press least first.
 func (c *Control) speed(loads []Load) {
-	for _, l := range loads {
-		p := c.Percent(l.Image)
+	byPress := slices.SortedStableFunc(slices.Values(loads), func(a, b Load) int {
+		return cmp.Compare(c.hardest(&a), c.hardest(&b))
+	})
+	for _, l := range byPress {
+		p := c.Percent(l.Task)
 		if p == Full {
 			continue
 		}
-		up := min(max(float64(p)*(speedUp-1), firstUp), float64(Full-p))
-		for lasting, worst := range c.worst {
-			if cost := l.press(lasting) * l.Share * up / Full; cost > 0 {
-				up = min(up, up*max(press.Busy(nearTarget)-press.Busy(worst), 0)/cost)
+		up := float64(Full - p)
+		if c.hardest(&l)*l.Share > mild {
+			up = min(up, max(float64(p)*(speedUp-1), firstUp))
+		}
+		up = c.bearable(&l, up)
+		c.take(&l, up)
+		c.set(l.Task, p+int(up))
+	}
+}
+
+// hardest returns the most that a VM full of a filler would add to a lasting image
+// here.
+func (c *Control) hardest(l *Load) float64 {
+	most := 0.0
+	for lasting := range c.room {
+		most = max(most, l.press(lasting))
+	}
+	return most
+}
+
+// bearable returns by how much a filler's speed may be raised, in percent, at most
+// up.
+func (c *Control) bearable(l *Load, up float64) float64 {
+	for lasting, room := range c.room {
+		if cost := l.cost(lasting, up); cost > 0 {
+			up = min(up, up*max(room, 0)/cost)
+		}
+	}
+	return up
+}
+
+// take takes the room that a change of a filler's speed uses, in percent.
+func (c *Control) take(l *Load, change float64) {
+	for lasting := range c.room {
+		c.room[lasting] -= l.cost(lasting, change)
+	}
+}
+
+// stop notes which targets are missed, and stops the fillers beside those that are
+// missed for long.
+func (c *Control) stop(now time.Time, loads []Load) {
+	missed := map[string]time.Time{}
+	for image, worst := range c.worst {
+		if worst <= 1 {
+			continue
+		}
+		since, ok := c.missed[image]
+		if !ok {
+			since = now
+		}
+		missed[image] = since
+		for _, l := range loads {
+			known := l.press(image)*l.Share > mild
+			if now.Sub(since) >= lastPatience || known && now.Sub(since) >= patience {
+				c.set(l.Task, 0)
 			}
 		}
-		c.set(l.Image, p+int(up))
 	}
+	c.missed = missed
 }
 
-func (c *Control) set(image string, percent int) {
+func (c *Control) set(task string, percent int) {
 	if percent >= Full {
-		delete(c.percent, image)
+		delete(c.percent, task)
 		return
 	}
 	if c.percent == nil {
@@ -188,5 +262,5 @@
 	if percent < least {
 		percent = 0
 	}
-	c.percent[image] = percent
+	c.percent[task] = percent
 }
--- a/place/index.go
+++ b/place/index.go
@@ -118,6 +118,7 @@
 	members   [pools][]int32
 	capacity  Size // of open workers, scaled by their share
 	committed Size // of open workers
+	batch     Size // the part of committed that urgent work may take
 }
 
 // open returns the number of open workers.
@@ -270,6 +271,19 @@
 	d.capacity = d.capacity.Plus(Size{sign * c.Millicores, sign * c.MemoryMB, sign * c.Accelerators})
 	u := w.Committed
 	d.committed = d.committed.Plus(Size{sign * u.Millicores, sign * u.MemoryMB, sign * u.Accelerators})
+	b := w.Batch
+	d.batch = d.batch.Plus(Size{sign * b.Millicores, sign * b.MemoryMB, sign * b.Accelerators})
+}
+
+// Firm returns the part of the open workers' capacity that is committed to work
+// that nothing may take it from, by the scarcest of their resources.
+func (x *Index) Firm() float64 {
+	var firm, capacity Size
+	for i := range x.dc {
+		firm = firm.Plus(x.dc[i].committed.Minus(x.dc[i].batch))
+		capacity = capacity.Plus(x.dc[i].capacity)
+	}
+	return fraction(firm, capacity)
 }
 
 func scaled(s Size, f float64) Size {
