core: fillers that hardly run move to where they are borne

Change: agents report fillers that run at 25% or less for a second; the entry that owns the job stops them, to go on from their checkpoint, if another worker bears them at full speed.

--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -75,7 +75,7 @@
 		Config: a.config.rev, Leaving: a.closed() || a.workerQuiet(),
 		Lapsed: a.lapsed(),
 	}
-	b.Window, b.Tails, b.Fillers = a.windows, a.tails, a.reportedMix()
+	b.Window, b.Tails, b.Fillers, b.Slowed = a.windows, a.tails, a.reportedMix(), a.slowed()
 	for _, t := range a.heldInOrder() {
 		b.Running = append(b.Running, t.order.Attempt)
 		if t.order.Target > 0 {
--- a/core/agentpace.go
+++ b/core/agentpace.go
@@ -152,5 +152,30 @@
 	a.tell("filler paced", t.order.Attempt.String(), "percent", percent, "was", pace.Full-t.taken,
 		"image", t.order.Class, "use", t.use, "press", pressOf(a.press, t.order.Class), "tails", a.pace.Worst())
 	t.percent, t.taken, t.pacedAt = percent, pace.Full-percent, a.at.Now
+	switch {
+	case percent > slowPercent:
+		t.slowed = time.Time{}
+	case t.slowed.IsZero():
+		t.slowed = a.at.Now
+	}
 	a.emit(Control{Attempt: t.order.Attempt, Verb: VerbThrottle, Percent: percent})
 }
+
+const (
+	// slowPercent is the speed, in percent, up to which a filler hardly runs.
+	slowPercent = 25
+	// slowFor is how long a filler must hardly run to be reported: a wave of its
+	// neighbours' load is over sooner than it can move.
+	slowFor = time.Second
+)
+
+// slowed returns the fillers that hardly run for long.
+func (a *Agent) slowed() []Attempt {
+	var ts []Attempt
+	for _, t := range a.heldInOrder() {
+		if t.stopping == "" && !t.slowed.IsZero() && a.at.Now.Sub(t.slowed) >= slowFor {
+			ts = append(ts, t.order.Attempt)
+		}
+	}
+	return ts
+}
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -23,6 +23,7 @@
 	taken    int           // percent of full speed taken from a filler
 	admitted bool          // a filler has got its first speed
 	pacedAt  time.Time     // when a filler's speed last changed
+	slowed   time.Time     // since when a filler hardly runs; zero if it does
 	used     int64         // thousandths of a core, as the worker measured them last
 	use      float64       // see pace.Load
 	moved    bool          // its claim is another's: its end is of no use
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -140,6 +140,7 @@
 	e.observePress(w, ans)
 	e.indexWorker(w)
 	e.routeWorker(w)
+	e.moveSlowed(w)
 }
 
 // checkpointEvery returns the time between checkpoints of a task, so that those
--- /dev/null
+++ b/core/entryslow.go
@@ -0,0 +1,51 @@
+package core
+
+import (
+	"time"
+
+	"jayloft/place"
+)
+
+const (
+	// slowAttempts is the attempt up to which a filler is moved for its speed: each
+	// move costs what it did since its last checkpoint.
+	slowAttempts = 4
+	// avoidSlowed is how long a job's tasks keep away from where one was slowed.
+	avoidSlowed = 5 * time.Second
+)
+
+// moveSlowed stops fillers that hardly run on a worker, to go on elsewhere from
+// their checkpoints, where a worker is likely to bear them at full speed. It answers
+// the load pattern of lasting tasks that come to a worker, or whose own load rises,
+// after fillers that press on them were placed there.
+func (e *Entry) moveSlowed(w *workerView) {
+	for _, t := range w.beat.Slowed {
+		j := e.jobs[t.Task.Job]
+		if j == nil {
+			continue
+		}
+		c := j.claims[t.Task.N]
+		if c == nil || c.attempt != t || c.holder.Inc != w.inc || e.at.Now.Sub(c.stopSent) < stopEvery {
+			continue
+		}
+		if t.Number > slowAttempts || !e.bearable(w, j, c) {
+			continue
+		}
+		c.stopSent = e.at.Now
+		j.avoid[w.id] = e.at.Now.Add(avoidSlowed)
+		e.count("evict", "slowed")
+		e.tell("slowed filler moved", t.String(), "worker", string(w.id))
+		e.emit(Stop{Addr: w.beat.Addr, Attempt: t, Inc: w.inc, Kind: EndEvicted, Reason: "hardly runs beside lasting tasks"})
+	}
+}
+
+// bearable reports whether another worker is likely to bear a filler at full speed.
+func (e *Entry) bearable(w *workerView, j *jobView, c *claim) bool {
+	n := c.attempt.Task.N
+	st := j.row.Spec.Step(n)
+	need := place.Need{Size: st.Size, Owner: string(c.attempt.Task.Job), Spread: true, Where: place.OnlyQuiet}
+	need.Avoid = append(e.avoided(j, n), e.unfit(j, n, st)...)
+	need.Avoid = append(need.Avoid, string(w.id))
+	_, ok := e.pickFiller(need, st.Image, false, e.at.Seed)
+	return ok
+}
--- a/core/event.go
+++ b/core/event.go
@@ -161,7 +161,8 @@
 	Lasting   int64    // thousandths of a core that lasting tasks hold
 	Tails     []ImageTail
 	Fillers   []FillerLoad
-	Window    uint64 // counts the windows that Tails and Fillers are of
+	Window    uint64    // counts the windows that Tails and Fillers are of
+	Slowed    []Attempt // fillers that hardly run, to spare lasting tasks
 	// Gone lists earlier incarnations that this one vouches are dead, as
 	// asked by BeatAnswer.Prior.
 	Gone []Incarnation
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -37,6 +37,7 @@
 		Fillers:     each(b.Fillers, fillerToWire),
 		Lasting:     b.Lasting,
 		Window:      b.Window,
+		Slowed:      AttemptsToWire(b.Slowed),
 	}
 }
 
@@ -51,6 +52,9 @@
 	for _, a := range m.GetRunning() {
 		f.attempt(a)
 	}
+	for _, a := range m.GetSlowed() {
+		f.attempt(a)
+	}
 	for _, e := range m.GetEnds() {
 		f.attempt(e.GetAttempt())
 	}
@@ -81,6 +85,7 @@
 		Fillers:   each(m.GetFillers(), fillerFromWire),
 		Lasting:   m.GetLasting(),
 		Window:    m.GetWindow(),
+		Slowed:    AttemptsFromWire(m.GetSlowed()),
 	}
 	return b, f.err("beat")
 }
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -34,7 +34,7 @@
 		Ends:    []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}},
 		Tails:   []core.ImageTail{{Image: "i", Worst: 0.5, Busy: 0.6, Tasks: 2}},
 		Fillers: []core.FillerLoad{{Image: "f", Millicores: 5}},
-		Labels:  []string{"l"}, Serving: 1, Lasting: 3, Window: 4,
+		Labels:  []string{"l"}, Serving: 1, Lasting: 3, Window: 4, Slowed: []core.Attempt{attempt},
 		Config: 7, Leaving: true, Lapsed: true, Gone: []core.Incarnation{"g"},
 	}
 	wholly(t, b)
