pace: mild fillers are left alone until a target is missed for long

They were stopped when a neighbour pressed, when they started while there was no room, or when a tail was over for reasons that fillers can't explain, though each adds less utilization than the measurement's noise. Change: a filler that adds 0.03 or less at full speed starts at full speed and is slowed only by the last stop of all fillers.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -37,7 +37,8 @@
 	// added, in percent, in one step.
 	speedUp = 1.6
 	firstUp = 15
-	// mild is the utilization that a filler at full speed may add to get it at once.
+	// mild is the utilization that a filler may add at full speed to be left alone:
+	// it isn't what a tail over its target comes from.
 	mild = 0.03
 	// least is the lowest speed that is worth running at, in percent.
 	least = 5
@@ -147,11 +148,17 @@
 // Admit sets the speed of a filler that starts between two steps: what the room
 // that is left bears.
 func (c *Control) Admit(l Load) {
-	up := c.bearable(&l, Full)
+	up := float64(Full)
+	if !c.mild(&l) {
+		up = c.bearable(&l, up)
+	}
 	c.take(&l, up)
 	c.set(l.Task, int(up))
 }
 
+// mild reports whether a filler adds little to each lasting image here.
+func (c *Control) mild(l *Load) bool { return c.hardest(l)*l.Share <= mild }
+
 // forget drops the speeds of fillers that have gone.
 func (c *Control) forget(loads []Load) {
 	here := make(map[string]bool, len(loads))
@@ -173,6 +180,9 @@
 		if c.room[lasting] >= 0 || added <= 0 {
 			return
 		}
+		if c.mild(&l) {
+			continue
+		}
 		down := p * min(-c.room[lasting]/added, 1)
 		c.take(&l, -down)
 		c.set(l.Task, int(p-down))
@@ -191,10 +201,9 @@
 			continue
 		}
 		up := float64(Full - p)
-		if c.hardest(&l)*l.Share > mild {
-			up = min(up, max(float64(p)*(speedUp-1), firstUp))
+		if !c.mild(&l) {
+			up = c.bearable(&l, min(up, max(float64(p)*(speedUp-1), firstUp)))
 		}
-		up = c.bearable(&l, up)
 		c.take(&l, up)
 		c.set(l.Task, p+int(up))
 	}
@@ -242,8 +251,7 @@
 		}
 		missed[image] = since
 		for _, l := range loads {
-			known := l.press(image)*l.Share > mild
-			if now.Sub(since) >= lastPatience || known && now.Sub(since) >= patience {
+			if now.Sub(since) >= lastPatience || !c.mild(&l) && now.Sub(since) >= patience {
 				c.set(l.Task, 0)
 			}
 		}
