--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -14,7 +14,7 @@
 	bearTail = 0.5
 	// mildPress is the utilization that one filler may add to any lasting task:
 	// less than the measurements' own noise.
-	mildPress = 0.03
+	mildPress = 0.05
 	// bearTries bounds the workers that are looked at for one filler.
 	bearTries = 12
 )
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -39,7 +39,7 @@
 	firstUp = 15
 	// mild is the utilization that a filler may add at full speed to be left alone:
 	// it isn't what a tail over its target comes from.
-	mild = 0.03
+	mild = 0.05
 	// least is the lowest speed that is worth running at, in percent.
 	least = 5
 	// patience is how long a target may be missed on end until all fillers that are
