core: lasting tasks go where fillers press least; mild fillers keep off hot tails

Another 76 were by several mild fillers together. Change: of the workers that do not serve, a lasting task takes the one whose fillers press least on its image; mild fillers are placed up to a tail of 0.9 of the target. Tried and dropped: mild fillers slowed where they explain half of what a tail is over by.

--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -12,8 +12,10 @@
 	// bearTail is the tail, as a part of its target, up to which more fillers are
 	// placed beside a lasting task.
 	bearTail = 0.5
-	// mildPress is the utilization that one filler may add to any lasting task:
-	// less than the measurements' own noise.
+	// hotTail is the same for fillers that add little each.
+	hotTail = 0.9
+	// mildPress is the utilization up to which a filler adds little: about as much
+	// as the measurements' own noise.
 	mildPress = 0.05
 	// bearTries bounds the workers that are looked at for one filler.
 	bearTries = 12
@@ -108,26 +110,46 @@
 }
 
 // added returns the utilization that one more filler is likely to add to lasting
-// tasks on the worker, with those that were placed there since the last beat, and
-// whether the lasting tasks there are likely to bear it.
+// tasks on the worker, and whether the lasting tasks there are likely to bear it with
+// those that were placed there since the last beat.
 func (e *Entry) added(w *workerView, image string, size Size) (most float64, borne bool) {
 	borne = true
 	for _, t := range w.tailsOn() {
 		added := e.press.Press(t.Image, image) * press.UnknownWeight * w.share(size.Millicores)
+		bound := bearTail
 		if added <= mildPress {
-			continue
-		}
-		for _, c := range w.claims {
-			if c.holder.Inc == w.inc && !c.listed && c.soft.Millicores > 0 {
-				added += e.press.Press(t.Image, c.class) * press.UnknownWeight * w.share(c.soft.Millicores)
-			}
+			bound = hotTail
 		}
 		most = max(most, added)
-		borne = borne && press.Busy(t.Worst)+added <= press.Busy(bearTail)
+		borne = borne && press.Busy(t.Worst)+e.coming(w, t.Image)+added <= press.Busy(bound)
 	}
 	return most, borne
 }
 
+// coming returns the utilization that fillers which were placed on a worker since
+// its last beat are likely to add to lasting tasks of an image.
+func (e *Entry) coming(w *workerView, lasting string) float64 {
+	sum := 0.0
+	for _, c := range w.claims {
+		if c.holder.Inc == w.inc && !c.listed && c.soft.Millicores > 0 {
+			sum += e.press.Press(lasting, c.class) * press.UnknownWeight * w.share(c.soft.Millicores)
+		}
+	}
+	return sum
+}
+
+// pressed returns the utilization that all fillers on a worker are likely to add to
+// lasting tasks of an image, if they run at full speed.
+func (e *Entry) pressed(w *workerView, lasting string) float64 {
+	sum := 0.0
+	for _, c := range w.claims {
+		if c.holder.Inc == w.inc && c.soft.Millicores > 0 {
+			sum += e.press.Press(lasting, c.class) * press.UnknownWeight * w.share(c.soft.Millicores)
+		}
+	}
+	return sum
+}
+
 // pickLasting chooses a worker for a lasting task: one that serves only tasks of
 // its image, or else one that does not serve, or else the one with the fewest
 // other images. It answers the load pattern of lasting tasks on all of a site,
@@ -152,8 +174,7 @@
 			best, least = id, others
 		}
 	}
-	need.Where, need.Spread = place.OnlyQuiet, true
-	if id, ok := e.index.Pick(need, seed); ok {
+	if id, ok := e.leastPressed(need, image, seed); ok {
 		return id, true
 	}
 	if best != "" {
@@ -163,6 +184,24 @@
 	return e.index.PickReclaim(need, seed)
 }
 
+// leastPressed chooses among a few workers that don't serve the one whose fillers
+// are likely to add least to lasting tasks of an image.
+func (e *Entry) leastPressed(need place.Need, image string, seed uint64) (best string, ok bool) {
+	need.Where, need.Spread = place.OnlyQuiet, true
+	var least float64
+	for range bearTries {
+		id, ok := e.index.Pick(need, seed)
+		if !ok {
+			break
+		}
+		need.Avoid = append(need.Avoid, id)
+		if p := e.pressed(e.workers[WorkerID(id)], image); best == "" || p < least {
+			best, least = id, p
+		}
+	}
+	return best, best != ""
+}
+
 // otherImages counts the images of lasting tasks on a worker but one.
 func (w *workerView) otherImages(image string) int {
 	n := 0
