core: lasting tasks leave a fifth of the workers to fillers

Change: while at most a fifth of the workers serves none, a lasting task joins the worker with the fewest other images.

--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -17,6 +17,9 @@
 	// mildPress is the utilization up to which a filler adds little: about as much
 	// as the measurements' own noise.
 	mildPress = 0.05
+	// keepQuiet is the part of the workers that lasting tasks leave to fillers while
+	// they find room on others.
+	keepQuiet = 0.2
 	// bearTries bounds the workers that are looked at for one filler.
 	bearTries = 12
 )
@@ -174,6 +177,9 @@
 			best, least = id, others
 		}
 	}
+	if best != "" && e.index.Quiet() <= keepQuiet {
+		return best, true
+	}
 	if id, ok := e.leastPressed(need, image, seed); ok {
 		return id, true
 	}
--- a/place/index.go
+++ b/place/index.go
@@ -275,6 +275,19 @@
 	d.batch = d.batch.Plus(Size{sign * b.Millicores, sign * b.MemoryMB, sign * b.Accelerators})
 }
 
+// Quiet returns the part of the open workers that don't serve.
+func (x *Index) Quiet() float64 {
+	quiet, all := 0, 0
+	for i := range x.dc {
+		all += x.dc[i].open()
+		quiet += len(x.dc[i].members[poolPlain]) + len(x.dc[i].members[poolAccelerated])
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(quiet) / float64(all)
+}
+
 // Firm returns the part of the open workers' capacity that is committed to work
 // that nothing may take it from, by the scarcest of their resources.
 func (x *Index) Firm() float64 {
