--- a/core/entrypress.go
+++ b/core/entrypress.go
@@ -19,7 +19,7 @@
 	mildPress = 0.05
 	// keepQuiet is the part of the workers that lasting tasks leave to fillers while
 	// they find room on others.
-	keepQuiet = 0.2
+	keepQuiet = 0.3
 	// bearTries bounds the workers that are looked at for one filler.
 	bearTries = 12
 )
