--- a/core/scene_test.go
+++ b/core/scene_test.go
@@ -19,7 +19,7 @@
 
 // scenes are the meetings of events that protections are meant for. Drawn one
 // by one their parts would seldom meet.
-var scenes = []func(t *rapid.T) []fake.Action{lateStart, lateOrder, lostVM, lateClaim, doubledStart, doubledCall, doubledLookup, outage}
+var scenes = []func(t *rapid.T) []fake.Action{lateStart, lateOrder, lostVM, lateClaim, doubledStart, crowdedStart, doubledCall, doubledLookup, outage}
 
 func seconds(t *rapid.T, name string, lo, hi int) time.Duration {
 	return time.Duration(rapid.IntRange(lo*10, hi*10).Draw(t, name)) * time.Second / 10
@@ -107,6 +107,31 @@
 	}
 }
 
+// crowdedStart lets all entries place at once on workers that are nearly full, so
+// that agents refuse orders, while copies of orders are on their way and jobs that
+// are cancelled make room, before and after.
+func crowdedStart(t *rapid.T) []fake.Action {
+	fill := func(entry int) fake.Action {
+		return fake.Submit{
+			Entry: entry, Tasks: 8, Size: core.Size{Millicores: 900, MemoryMB: 500}, Urgent: n(t, "urgent", 2) == 0,
+		}
+	}
+	free := func() fake.Action {
+		return fake.Cancel{Entry: n(t, "entry", 2), Last: rapid.IntRange(1, 3).Draw(t, "last")}
+	}
+	return []fake.Action{
+		fill(0), fill(1), fill(2),
+		fake.Wait{For: seconds(t, "wait", 1, 2)},
+		fake.Net{Delay: seconds(t, "delay", 1, 2), Double: 0.6, For: 6 * time.Second},
+		free(),
+		fake.Wait{For: 200*time.Millisecond + milliseconds(t, "before", 400)},
+		fill(0), fill(1), fill(2), fill(0),
+		fake.Wait{For: 400*time.Millisecond + milliseconds(t, "after", 1000)},
+		free(),
+		fake.Wait{For: 5 * time.Second},
+	}
+}
+
 // doubledCall doubles and delays requests while an agent restarts.
 func doubledCall(t *rapid.T) []fake.Action {
 	return []fake.Action{
