core: an adopted task is given up only after its earlier life's lease

An agent came back and adopted a task; the worker did not answer, so no lease was renewed and the task's deadline stayed zero. A second and a half later the agent reported the task lost, and it was started elsewhere, while the worker ran it on until the deadline that the agent's earlier life had given. Ruled out: the order's permit, the copies of messages (the run fails without them too). Change: an adopted task has the latest deadline that an earlier life can have given; deadlines are only ever moved on, as the worker does. Before -> after: TestRegress 'adopted task at a slow worker' fails, passes; the whole of core passes.

--- a/core/agent.go
+++ b/core/agent.go
@@ -261,7 +261,7 @@
 			continue
 		}
 		a.inc = t.Inc
-		a.held[t.Attempt.Task] = adopted(t)
+		a.held[t.Attempt.Task] = adopted(t, a.at.Now.Add(a.pol.Lease))
 	}
 	if a.inc == "" && !a.pol.BootInc && !a.settledIn() {
 		return false
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -191,7 +191,7 @@
 	var ts []Attempt
 	for _, t := range a.heldInOrder() {
 		if t.started && t.stopping == "" {
-			t.deadline = a.leaseEnd()
+			t.extend(a.leaseEnd())
 			ts = append(ts, t.order.Attempt)
 		}
 	}
--- a/core/agentmatch.go
+++ b/core/agentmatch.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if !mine && !ok && a.own(w) && !a.settledIn() {
-		t, mine = adopted(w), true
+		t, mine = adopted(w, a.at.Now.Add(a.pol.Lease)), true
 		a.held[w.Attempt.Task] = t
 	}
 	if !mine {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -31,8 +31,11 @@
 	tail     time.Duration // of a lasting task, as the worker measured it last
 }
 
-func adopted(t WorkerTask) *heldTask {
+// adopted returns a task that an earlier life of the agent started. The worker may
+// run it until a deadline that this life does not know, but for its bound.
+func adopted(t WorkerTask, latestDeadline time.Time) *heldTask {
 	return &heldTask{
+		deadline: latestDeadline,
 		order: Order{
 			Attempt: t.Attempt, Holder: Holder{Inc: t.Inc}, Class: t.Class, Size: t.Size, Urgent: t.Urgent,
 			Filler: t.Filler, Lasting: t.Lasting, Target: t.Target,
@@ -242,13 +245,16 @@
 	}
 }
 
+// extend moves the deadline. The worker never shortens one.
+func (t *heldTask) extend(end time.Time) { t.deadline = latest(t.deadline, end) }
+
 // renewTask moves a started task's deadline from the launch's to the lease's.
 func (a *Agent) renewTask(t *heldTask) {
 	if t.deadline.Equal(a.leaseEnd()) || t.stopping != "" || a.fenced {
 		return
 	}
-	t.deadline = a.leaseEnd()
-	a.emit(Renew{Attempts: []Attempt{t.order.Attempt}, Deadline: t.deadline})
+	t.extend(a.leaseEnd())
+	a.emit(Renew{Attempts: []Attempt{t.order.Attempt}, Deadline: a.leaseEnd()})
 }
 
 // stopping reports whether a stop has yet to show in the worker's account.
--- a/core/regress_test.go
+++ b/core/regress_test.go
@@ -104,6 +104,28 @@
 			fake.Net{Delay: 4 * time.Second, Double: 0.6, For: 6 * time.Second},
 			fake.Ask{N: 150, Service: "lookup", Timeout: 2 * time.Second, Over: time.Second},
 		}}},
+		// An agent came back, adopted a task without a deadline of its own, found
+		// that the worker did not answer, and gave the task up while the lease of
+		// its earlier life ran on at the worker.
+		{"adopted task at a slow worker", script{Seed: 0, Actions: []fake.Action{
+			fake.CutDC{DC: 1, Entry: 1, For: 14900 * time.Millisecond},
+			fake.CutDC{DC: 1, Entry: 2, For: 14900 * time.Millisecond},
+			fake.Submit{Entry: 2, Tasks: 8, Size: small, Urgent: true},
+			fake.Submit{Entry: 1, Tasks: 8, Size: small},
+			fake.Wait{For: 110 * time.Millisecond},
+			fake.Drain{Entry: 1, DC: 1},
+			fake.Wait{For: 14900 * time.Millisecond},
+			fake.Unwell{VM: 5, For: 10 * time.Second},
+			fake.Unwell{VM: 0, Slow: true, For: 25 * time.Second},
+			fake.Wait{For: 2 * time.Second},
+			fake.Ask{N: 38, Service: "none", Timeout: 50 * time.Millisecond, Over: 2 * time.Millisecond},
+			fake.Net{Delay: 4 * time.Second, Double: 0.6, For: 6 * time.Second},
+			fake.Ask{Entry: 2, N: 150, Service: "lookup", Timeout: 2 * time.Second, Over: time.Second},
+			fake.Wait{},
+			fake.KillAgent{VM: 5, For: 38 * time.Millisecond},
+			fake.KillAgent{VM: 6, For: 28 * time.Millisecond},
+			fake.KillAgent{VM: 7, For: 12 * time.Millisecond},
+		}}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
