--- a/cmd/jayloft/agent.go
+++ b/cmd/jayloft/agent.go
@@ -57,11 +57,11 @@
 	l := root.WithField("worker", string(file.Agent.Worker))
 	return run(l, c.config, file.Agent.Grace,
 		fx.Supply(file, *file.Agent),
-		fx.Provide(func() log.Interface { return l }, io.BootClock, newWorker, newAgent, agentProcess))
+		fx.Provide(func() log.Interface { return l }, io.BootClock, newStore, newWorker, newAgent, agentProcess))
 }
 
 // newAgent returns the agent of this life of the process.
-func newAgent(f config.File, cfg config.Agent, now io.Clock, w *platform.Worker, l log.Interface) *io.AgentServer {
+func newAgent(f config.File, cfg config.Agent, now io.Clock, w *platform.Worker, s *platform.Store, l log.Interface) *io.AgentServer {
 	site := core.AgentSite{
 		Worker:  cfg.Worker,
 		DC:      cfg.DC,
@@ -72,20 +72,26 @@
 	}
 	opts := []io.Option{io.WithLog(l), io.WithPolicy(f.Options()...), io.WithClock(now)}
 	if w != nil {
-		store := platform.NewStore(f.Platform.Store, f.Platform.DCs, l)
-		opts = append(opts, io.WithWorker(w), io.WithTable(store), io.WithPolicy(core.WithNamelessRuns()))
+		opts = append(opts, io.WithWorker(w), io.WithTable(s), io.WithPolicy(core.WithNamelessRuns()))
 	}
 	return io.NewAgent(site, cfg.VM, opts...)
 }
 
+// newStore returns the client of a platform's store, nil without a platform.
+func newStore(f config.File, l log.Interface) *platform.Store {
+	if f.Platform == nil {
+		return nil
+	}
+	return platform.NewStore(f.Platform.Store, f.Platform.DCs, l)
+}
+
 // newWorker returns the client of a platform's worker, nil for one that speaks
 // jayloft's own protocol.
-func newWorker(f config.File, now io.Clock, l log.Interface) *platform.Worker {
-	p := f.Platform
-	if p == nil {
+func newWorker(f config.File, now io.Clock, s *platform.Store, l log.Interface) *platform.Worker {
+	if f.Platform == nil {
 		return nil
 	}
-	return platform.NewWorker(p.Worker, now, platform.NewStore(p.Store, p.DCs, l), l)
+	return platform.NewWorker(f.Platform.Worker, now, s, l)
 }
 
 func agentProcess(f config.File, cfg config.Agent, w *platform.Worker, a *io.AgentServer, l log.Interface) *process {
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -285,16 +285,8 @@
 	if sh := &e.shards[ShardOf(t.Task.Job)]; !sh.owned || !sh.loaded {
 		return
 	}
-	o := w.orphan[t]
-	switch {
-	case o == nil:
-		w.orphan[t] = &orphanEnd{read: e.at.Now.Add(orphanAfter)}
-	case o.over:
+	if e.foreignOver(w, End{Attempt: t}) {
 		ans.Moved = append(ans.Moved, t)
-		delete(w.orphan, t)
-	case !e.at.Now.Before(o.read):
-		o.read = e.at.Now.Add(orphanAfter)
-		e.emit(ReadRows{Token: e.expect(waitJob{w: w, end: End{Attempt: t}}), Keys: []string{keyJob(t.Task.Job)}})
 	}
 }
 
@@ -307,18 +299,28 @@
 // orphanHeard takes the end of another entry's job. If the owner doesn't
 // record it, perhaps because it doesn't hear the agent, this entry does.
 func (e *Entry) orphanHeard(w *workerView, end End, ans *BeatAnswer) {
+	if e.foreignOver(w, end) {
+		ans.Recorded = append(ans.Recorded, end.Attempt)
+	}
+}
+
+// foreignOver reports whether the table holds the end of an attempt, or a later
+// fact, and forgets the attempt then. The job's row is read now and then for as long
+// as agents name the attempt. The end has no kind while the attempt runs.
+func (e *Entry) foreignOver(w *workerView, end End) bool {
 	t := end.Attempt
 	o := w.orphan[t]
 	switch {
 	case o == nil:
 		w.orphan[t] = &orphanEnd{read: e.at.Now.Add(orphanAfter)}
 	case o.over:
-		ans.Recorded = append(ans.Recorded, t)
 		delete(w.orphan, t)
+		return true
 	case !e.at.Now.Before(o.read):
 		o.read = e.at.Now.Add(orphanAfter)
 		e.emit(ReadRows{Token: e.expect(waitJob{w: w, end: end}), Keys: []string{keyJob(t.Task.Job)}})
 	}
+	return false
 }
 
 // waitJob waits for the row of another entry's job, to record an end in it.
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -126,15 +126,11 @@
 }
 
 // pick chooses the worker for a task: dense for batch, spread for urgent, and
-// for urgent work also where batch work can make room.
+// for urgent work also where batch work can make room. A task whose data is in a
+// rack goes there if it can.
 func (e *Entry) pick(j *jobView, q waiting) (WorkerID, bool) {
-	t := q.task
-	st := j.row.Spec.Step(t.N)
-	first := j.row.Spec.first(st)
-	need := place.Need{
-		Size: st.Size, Spread: first || st.Filler, Owner: string(t.Job), Avoid: e.avoided(j, t.N),
-	}
-	need.Avoid = append(need.Avoid, e.unfit(j, t.N, st)...)
+	st := j.row.Spec.Step(q.task.N)
+	need := e.need(j, q, st)
 	if st.DataRack != "" {
 		near := need
 		near.Avoid = append(slices.Clone(need.Avoid), e.awayFrom(st.DataRack)...)
@@ -145,6 +141,15 @@
 	return e.pickOne(need, j, q, st)
 }
 
+// need returns what a task asks of a worker.
+func (e *Entry) need(j *jobView, q waiting, st StepSpec) place.Need {
+	n := q.task.N
+	return place.Need{
+		Size: st.Size, Spread: q.first || st.Filler, Owner: string(q.task.Job),
+		Avoid: append(e.avoided(j, n), e.unfit(j, n, st)...),
+	}
+}
+
 // awayFrom returns the workers that are not in a rack: tasks whose data is there
 // run longer on them, so they come second.
 func (e *Entry) awayFrom(rack Rack) []string {
@@ -159,9 +164,7 @@
 
 // pickOne chooses among the workers that a need leaves.
 func (e *Entry) pickOne(need place.Need, j *jobView, q waiting, st StepSpec) (WorkerID, bool) {
-	t := q.task
-	first := j.row.Spec.first(st)
-	seed := e.at.Seed ^ uint64(e.token)<<20 ^ uint64(t.N)
+	seed := e.at.Seed ^ uint64(e.token)<<20 ^ uint64(q.task.N)
 	if e.pol.FirstFit {
 		return e.firstFit(need)
 	}
@@ -170,7 +173,7 @@
 		id, ok := e.pickApart(need, st, stuck, seed)
 		return WorkerID(id), ok
 	}
-	if !first {
+	if !q.first {
 		id, ok := e.pickQuiet(need, j.row.Spec.Class, seed)
 		return WorkerID(id), ok
 	}
--- a/core/entryslow.go
+++ b/core/entryslow.go
@@ -41,10 +41,9 @@
 
 // bearable reports whether another worker is likely to bear a filler at full speed.
 func (e *Entry) bearable(w *workerView, j *jobView, c *claim) bool {
-	n := c.attempt.Task.N
-	st := j.row.Spec.Step(n)
-	need := place.Need{Size: st.Size, Owner: string(c.attempt.Task.Job), Spread: true, Where: place.OnlyQuiet}
-	need.Avoid = append(e.avoided(j, n), e.unfit(j, n, st)...)
+	st := j.row.Spec.Step(c.attempt.Task.N)
+	need := e.need(j, waiting{task: c.attempt.Task}, st)
+	need.Where = place.OnlyQuiet
 	need.Avoid = append(need.Avoid, string(w.id))
 	_, ok := e.pickFiller(need, st.Image, false, e.at.Seed)
 	return ok
