--- a/core/agentmatch.go
+++ b/core/agentmatch.go
@@ -36,7 +36,7 @@
 	}
 	if !mine {
 		a.stray = a.stray.Plus(w.Size.Max(w.Used))
-		a.emit(Control{Attempt: w.Attempt, Verb: VerbStop, Kind: EndCancelled, Reason: "not admitted"})
+		a.orderStop(w.Attempt, EndCancelled, "not admitted")
 		return
 	}
 	if !t.listed {
--- a/core/agentserve.go
+++ b/core/agentserve.go
@@ -103,15 +103,13 @@
 			return
 		}
 		if ans, ok := a.answeredBefore(ev); ok {
-			a.emit(ServeReply{Token: ev.Token, Answer: ans})
+			a.replyServe(ev.Token, ans)
 			return
 		}
 	}
 	if ev.Run != a.site.Run && a.pol.on(guardIncarnation) {
 		// An earlier life of this agent may have run a first copy.
-		a.emit(ServeReply{Token: ev.Token, Answer: ServeAnswer{
-			ID: ev.Request.ID, Outcome: OutcomeUnknown, Reason: ReasonIncarnation,
-		}})
+		a.replyServe(ev.Token, ServeAnswer{ID: ev.Request.ID, Outcome: OutcomeUnknown, Reason: ReasonIncarnation})
 		return
 	}
 	if r := a.checkServe(ev); r != ReasonNone {
@@ -179,7 +177,17 @@
 	a.count("refuse", r)
 	ans := ServeAnswer{ID: ev.Request.ID, Outcome: OutcomeRefused, Reason: r}
 	a.serve.tries.put(tryKey(ev.Call, ev.Request.ID), ans, a.at.Now, a.at.Now.Add(triesFor))
-	a.emit(ServeReply{Token: ev.Token, Answer: a.load(ans)})
+	a.replyServe(ev.Token, a.load(ans))
+}
+
+// replyServe answers a try of a request. Tries that were not served, or may not have
+// been, get a line in the log.
+func (a *Agent) replyServe(t Token, ans ServeAnswer) {
+	if ans.Outcome != OutcomeDone {
+		a.tell("try answered", string(ans.ID), "outcome", string(ans.Outcome), "reason", string(ans.Reason),
+			"running", len(a.serve.running), "queued", len(a.serve.queue), "slots", a.slots)
+	}
+	a.emit(ServeReply{Token: t, Answer: ans})
 }
 
 // tryKey names one try of one request.
@@ -253,7 +261,7 @@
 	}
 	ans = a.load(ans)
 	for _, t := range s.tokens {
-		a.emit(ServeReply{Token: t, Answer: ans})
+		a.replyServe(t, ans)
 	}
 }
 
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -287,8 +287,13 @@
 		return
 	}
 	t.stopping, t.stopSent = kind, a.at.Now
-	a.tell("run stopped", t.order.Attempt.String(), "kind", string(kind), "reason", reason)
-	a.emit(Control{Attempt: t.order.Attempt, Verb: VerbStop, Kind: kind, Reason: reason})
+	a.orderStop(t.order.Attempt, kind, reason)
+}
+
+// orderStop tells the worker to stop a run.
+func (a *Agent) orderStop(t Attempt, kind EndKind, reason string) {
+	a.tell("run stopped", t.String(), "kind", string(kind), "reason", reason)
+	a.emit(Control{Attempt: t, Verb: VerbStop, Kind: kind, Reason: reason})
 }
 
 // controlled looks at the worker again after a stop.
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -105,7 +105,7 @@
 	}
 	if j.row.Cancel && e.at.Now.Sub(c.stopSent) > stopEvery {
 		c.stopSent = e.at.Now
-		e.emit(Stop{Addr: w.beat.Addr, Attempt: c.attempt, Inc: w.inc, Kind: EndCancelled, Reason: "job cancelled"})
+		e.orderStop(w, c, EndCancelled, "job cancelled")
 	}
 	e.moveStraggler(w, j, c)
 	quiet := e.at.Now.Sub(latest(c.since, c.heard))
--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -109,7 +109,14 @@
 	return max(e.circuit.Probe(e.at.Now).Sub(e.at.Now), time.Second)
 }
 
-func (e *Entry) reply(t Token, r CommandResult) { e.emit(CommandReply{Token: t, Result: r}) }
+// reply answers a command. Those that changed nothing, or may not have, get a line in
+// the log.
+func (e *Entry) reply(t Token, r CommandResult) {
+	if r.Outcome != CommandDone {
+		e.tell("command answered", "", "outcome", string(r.Outcome), "text", r.Text, "retry", r.RetryAfter.String())
+	}
+	e.emit(CommandReply{Token: t, Result: r})
+}
 
 // finish answers a command for good.
 func (e *Entry) finish(c *command, r CommandResult) {
--- a/core/entrynoise.go
+++ b/core/entrynoise.go
@@ -161,7 +161,7 @@
 		w.noise.moved = e.at.Now
 		j.avoid[w.id] = e.at.Now.Add(moveEvery)
 		e.count("evict", "noise")
-		e.emit(Stop{Addr: w.beat.Addr, Attempt: c.attempt, Inc: w.inc, Kind: EndEvicted, Reason: "disturbs a service"})
+		e.orderStop(w, c, EndEvicted, "disturbs a service")
 		return
 	}
 }
--- a/core/entryreq.go
+++ b/core/entryreq.go
@@ -149,7 +149,7 @@
 	e.count("refuse", why)
 	ans := Answer{ID: r.ID, Outcome: outcome, Reason: why, Text: refusalText[why], RetryAfter: e.retryAfter(r)}
 	e.recent.add(r, ans, e.at.Now)
-	e.emit(ans)
+	e.emitAnswer(ans)
 }
 
 // refusalText explains refusals to callers.
@@ -261,6 +261,16 @@
 	r.sv.gate.Done(e.at.Now, string(r.Team))
 	e.count("answer", Reason(a.Outcome))
 	e.recent.add(r, a, e.at.Now)
+	e.emitAnswer(a)
+}
+
+// emitAnswer answers a caller. Requests that were not served, or may not have been,
+// get a line in the log.
+func (e *Entry) emitAnswer(a Answer) {
+	if a.Outcome != OutcomeDone {
+		e.tell("request answered", string(a.ID), "outcome", string(a.Outcome), "reason", string(a.Reason),
+			"tries", a.Tries, "worker", string(a.Worker), "retry", a.RetryAfter.String())
+	}
 	e.emit(a)
 }
 
--- a/core/entryslow.go
+++ b/core/entryslow.go
@@ -34,8 +34,7 @@
 		c.stopSent = e.at.Now
 		j.avoid[w.id] = e.at.Now.Add(avoidSlowed)
 		e.count("evict", "slowed")
-		e.tell("slowed filler moved", t.String(), "worker", string(w.id))
-		e.emit(Stop{Addr: w.beat.Addr, Attempt: t, Inc: w.inc, Kind: EndEvicted, Reason: "hardly runs beside lasting tasks"})
+		e.orderStop(w, c, EndEvicted, "hardly runs beside lasting tasks")
 	}
 }
 
--- a/core/entrystraggle.go
+++ b/core/entrystraggle.go
@@ -63,8 +63,7 @@
 	c.stopSent = e.at.Now
 	j.avoid[w.id] = e.at.Now.Add(avoidStraggler)
 	e.count("evict", "straggler")
-	e.tell("straggler moved", c.attempt.String(), "worker", string(w.id), "ran", e.at.Now.Sub(c.began).String())
-	e.emit(Stop{Addr: w.beat.Addr, Attempt: c.attempt, Inc: w.inc, Kind: EndEvicted, Reason: "runs much longer than its step"})
+	e.orderStop(w, c, EndEvicted, "runs much longer than its step")
 }
 
 // avoidStraggler is how long a job's tasks keep away from where one straggled.
