--- a/core/press_test.go
+++ b/core/press_test.go
@@ -97,23 +97,33 @@
 	}
 }
 
-// place submits a job of one task and returns the worker that it goes to.
+// place submits a job of one task, unless its step says more, and returns the worker
+// that the first goes to.
 func (s *pressSite) place(st core.StepSpec) (core.WorkerID, core.Attempt) {
 	s.t.Helper()
-	st.Count, st.Size = 1, core.Size{Millicores: 3200, MemoryMB: 1000}
+	st.Count, st.Size = max(st.Count, 1), core.Size{Millicores: 3200, MemoryMB: 1000}
 	ask := core.JobAsk{Verb: core.JobSubmit, Path: askPath, Spec: core.JobSpec{Steps: []core.StepSpec{st}}, By: s.now.Add(time.Second)}
 	s.run(core.JobAsked{Token: 77, Ask: ask})
 	for range 10 {
-		for _, eff := range s.effects {
-			if n, ok := eff.(core.Note); ok && n.Text == "task placed" {
-				return workerOf(n), core.Attempt{Task: core.TaskID{Job: askJob}, Number: 1}
-			}
+		if placed := s.placed(); len(placed) > 0 {
+			return placed[0], core.Attempt{Task: core.TaskID{Job: askJob}, Number: 1}
 		}
 		s.run(core.Tick{})
 	}
 	return "", core.Attempt{}
 }
 
+// placed returns the workers that tasks went to in the last run.
+func (s *pressSite) placed() []core.WorkerID {
+	var ids []core.WorkerID
+	for _, eff := range s.effects {
+		if n, ok := eff.(core.Note); ok && n.Text == "task placed" {
+			ids = append(ids, workerOf(n))
+		}
+	}
+	return ids
+}
+
 func workerOf(n core.Note) core.WorkerID {
 	for _, f := range n.Fields {
 		if f.Name == "worker" {
