--- a/core/agentpace.go
+++ b/core/agentpace.go
@@ -66,7 +66,7 @@
 // tailsNow returns the tails of the lasting tasks, by image.
 func (a *Agent) tailsNow() []ImageTail {
 	by := map[string]ImageTail{}
-	for _, t := range a.held {
+	for _, t := range a.heldInOrder() {
 		if !t.started || t.stopping != "" || t.order.Target <= 0 || t.tail <= 0 {
 			continue
 		}
@@ -93,7 +93,7 @@
 // smoothMix takes one window's fillers, at their speeds, into the mix.
 func (a *Agent) smoothMix() {
 	now := map[string]float64{}
-	for _, t := range a.held {
+	for _, t := range a.heldInOrder() {
 		if t.order.Filler && t.started {
 			now[t.order.Class] += t.pressing()
 		}
@@ -114,11 +114,7 @@
 // pressing returns the processors of a filler at its speed, weighed by how it uses
 // them, in thousandths of a core.
 func (t *heldTask) pressing() float64 {
-	weight := press.UnknownWeight
-	if t.use > 0 {
-		weight = press.Weight(t.use)
-	}
-	return float64(t.order.Size.Millicores) * float64(pace.Full-t.taken) / pace.Full * weight
+	return float64(t.order.Size.Millicores) * float64(pace.Full-t.taken) / pace.Full * press.Weight(t.use)
 }
 
 // pressOf returns the press of a filler's image by the images of lasting tasks.
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -66,14 +66,6 @@
 	Press map[string]float64
 }
 
-// weight returns how hard the filler presses by its use of the processors.
-func (l *Load) weight() float64 {
-	if l.Use <= 0 {
-		return press.UnknownWeight
-	}
-	return press.Weight(l.Use)
-}
-
 // press returns what utilization a VM full of the filler would add to lasting
 // tasks of an image.
 func (l *Load) press(lasting string) float64 {
@@ -81,7 +73,7 @@
 	if !ok {
 		p = firstPress
 	}
-	return p * l.weight()
+	return p * press.Weight(l.Use)
 }
 
 // cost returns the utilization that the filler adds at a speed, in percent.
--- a/press/press.go
+++ b/press/press.go
@@ -75,9 +75,13 @@
 )
 
 // Weight returns how hard a filler presses that uses a part of the processors that
-// its speed gives it, in [0, 1], as a part of its press while it uses all.
+// its speed gives it, in (0, 1], as a part of its press while it uses all. A use of
+// zero was not measured.
 func Weight(use float64) float64 {
-	return math.Pow(min(max(use, 0), 1), useExponent)
+	if use <= 0 {
+		return UnknownWeight
+	}
+	return math.Pow(min(use, 1), useExponent)
 }
 
 // Busy returns the utilization at which a task has a tail, in [0, 1).
