core: transactions keep to the writes and conditions that the table takes

Change: a transaction ends where its writes and conditions together, or the size of its rows, reach their bounds (settings clauses and kilobytes); a job's remaining claims follow in the next one.

--- a/config/policy.go
+++ b/config/policy.go
@@ -61,6 +61,8 @@
 		{"writes", PerSecond, 1, 10_000, func(p *core.Policy) any { return &p.WritesPerSecond }},
 		{"reads", PerSecond, 1, 100_000, func(p *core.Policy) any { return &p.ReadsPerSecond }},
 		{"rows", Count, 1, 1000, func(p *core.Policy) any { return &p.TxnRows }},
+		{"clauses", Count, 10, 10_000, func(p *core.Policy) any { return &p.TxnEntries }},
+		{"kilobytes", Count, 64, 65_536, func(p *core.Policy) any { return &p.TxnKilobytes }},
 		{"ramp", Seconds, 0, 10 * minute, func(p *core.Policy) any { return &p.RampFor }},
 	}
 }
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -28,10 +28,16 @@
 // newAskEntry returns an entry whose table holds a queue, a data centre and the
 // rows of the other entries.
 func newAskEntry(t *testing.T, others ...core.EntryRow) *askEntry {
+	t.Helper()
+	return newAskEntryWith(t, nil, others...)
+}
+
+// newAskEntryWith is newAskEntry with options.
+func newAskEntryWith(t *testing.T, opts []core.Option, others ...core.EntryRow) *askEntry {
 	t.Helper()
 	a := &askEntry{
 		t: t, now: time.Unix(1_700_000_000, 0), rev: 10,
-		e: core.NewEntry(core.EntrySite{ID: "me"}),
+		e: core.NewEntry(core.EntrySite{ID: "me"}, opts...),
 	}
 	a.post(core.Tick{})
 	config := []table.Row{
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -23,6 +23,7 @@
 	jobs  []*jobView
 	rows  []JobRow
 	txn   table.Txn
+	bytes int       // of the rows
 	again time.Time // when to send it again; zero while an answer is awaited
 }
 
@@ -102,20 +103,38 @@
 	e.emit(Commit{Token: e.expect(waitGroup{f: f}), Txn: f.txn})
 }
 
-// buildFlight applies the edits of up to TxnRows jobs. Edits that have become
-// void or are in the table already need no write.
+// full reports whether no more jobs may join a transaction with so many conditions.
+func (f *flight) full(p *Policy, conds int) bool {
+	return len(f.jobs) >= p.TxnRows || f.bytes >= p.TxnKilobytes<<10 || f.clauses(conds)+jobClauses > p.TxnEntries
+}
+
+// clauses returns the writes and conditions of a transaction together.
+func (f *flight) clauses(conds int) int { return len(f.txn.Writes) + conds }
+
+const (
+	// jobClauses is what a job adds at least: its row, the row's condition, and
+	// those of a claim.
+	jobClauses = 2 + claimClauses
+	// claimClauses is what a claim adds at most: its data centre's and its
+	// worker's condition.
+	claimClauses = 2
+)
+
+// buildFlight applies the edits of as many jobs as a transaction may hold. Edits that
+// have become void or are in the table already need no write.
 func (e *Entry) buildFlight() *flight {
 	f := &flight{}
 	conds := map[string]uint64{}
 	dirty := e.group.dirty
 	e.group.dirty = nil
 	for i, j := range dirty {
-		if len(f.jobs) >= e.pol.TxnRows {
+		if f.full(&e.pol, len(conds)) {
 			e.group.dirty = append(e.group.dirty, dirty[i:]...)
 			break
 		}
 		j.dirty = false
 		e.addJob(f, j, conds)
+		e.dirty(j) // some of its edits may have to wait for the next transaction
 	}
 	if len(f.jobs) == 0 {
 		return nil
@@ -131,8 +150,13 @@
 	row := j.row.copyTasks()
 	edits := j.edits
 	j.edits = nil
-	for _, ed := range edits {
-		if c, ok := ed.(claimEdit); ok && !e.claimHolds(c) {
+	for i, ed := range edits {
+		c, claims := ed.(claimEdit)
+		if claims && f.clauses(len(conds))+jobClauses > e.pol.TxnEntries {
+			j.edits = edits[i:]
+			break
+		}
+		if claims && !e.claimHolds(c) {
 			e.voided(j, ed)
 			continue
 		}
@@ -167,6 +191,7 @@
 	conds[key] = j.version
 	f.jobs = append(f.jobs, j)
 	f.rows = append(f.rows, row)
+	f.bytes += len(b)
 	f.txn.Writes = append(f.txn.Writes, table.Write{Key: key, Value: b})
 }
 
--- a/core/policy.go
+++ b/core/policy.go
@@ -61,8 +61,9 @@
 	// WritesPerSecond bounds the transactions of all live entries together,
 	// ReadsPerSecond their reads; each entry takes an equal share.
 	WritesPerSecond, ReadsPerSecond float64
-	// TxnRows bounds the rows that one transaction writes.
-	TxnRows int
+	// TxnRows bounds the rows that one transaction writes, TxnEntries its writes
+	// and conditions together, TxnKilobytes the size of its rows, less the last.
+	TxnRows, TxnEntries, TxnKilobytes int
 	// RampFor is how long a returned data centre takes to reach its full share.
 	RampFor time.Duration
 
@@ -129,6 +130,8 @@
 		WritesPerSecond: 240,
 		ReadsPerSecond:  1200,
 		TxnRows:         200,
+		TxnEntries:      2000,
+		TxnKilobytes:    4096,
 		RampFor:         10 * time.Second,
 	}
 }
--- a/core/press_test.go
+++ b/core/press_test.go
@@ -18,13 +18,14 @@
 type pressSite struct {
 	*askEntry
 	effects []core.EntryEffect // of the last run
+	all     []core.EntryEffect // of all
 	windows uint64
 	beats   map[core.WorkerID]core.Beat
 	order   []core.WorkerID
 }
 
-func newPressSite(t *testing.T) *pressSite {
-	s := &pressSite{askEntry: newAskEntry(t), beats: map[core.WorkerID]core.Beat{}}
+func newPressSite(t *testing.T, opts ...core.Option) *pressSite {
+	s := &pressSite{askEntry: newAskEntryWith(t, opts), beats: map[core.WorkerID]core.Beat{}}
 	for range 20 { // until all shards are read
 		s.run(core.Tick{})
 	}
@@ -40,6 +41,7 @@
 		s.post(evs[0])
 		evs = evs[1:]
 		s.effects = append(s.effects, s.out...)
+		s.all = append(s.all, s.out...)
 		for _, eff := range s.out {
 			switch eff := eff.(type) {
 			case core.ReadChanges:
