core: 404 only by a configuration that was read of late

Ruled out: the store (other entries had it in 0.5 s). Change: a call without a queue is refused with 503 and a time to come back, once the last good read of the configuration is 1.5 s old.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -390,3 +390,18 @@
 	}
 	assert.Equal(t, refused, 3)
 }
+
+// An entry that has not read the configuration of late does not say that a queue
+// does not exist: it may be new.
+func TestNoQueueOnlyByAFreshConfiguration(t *testing.T) {
+	a := newAskEntry(t)
+	look := core.JobAsked{Token: 5, Ask: core.JobAsk{Verb: core.JobLook, Path: "/other/", By: a.now.Add(time.Minute)}}
+	a.post(look)
+	assert.Equal(t, need[core.JobReply](a).Answer.Outcome, core.JobNoQueue)
+	a.now = a.now.Add(2 * time.Second)
+	a.post(look)
+	ans := need[core.JobReply](a).Answer
+	assert.Equal(t, ans.Outcome, core.JobRefused)
+	assert.Equal(t, ans.Reason, core.ReasonConfig)
+	assert.Assert(t, ans.RetryAfter > 0)
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -67,11 +67,18 @@
 	return ReasonNone
 }
 
+// configFresh is how old the configuration may be for a call to be told that there
+// is no queue for it: operators expect a new queue everywhere within 2 s.
+const configFresh = 1500 * time.Millisecond
+
 // routeAsk finds the queue of a call. It answers a call for which there is
 // none, and one that asks about the queue itself.
 func (e *Entry) routeAsk(a *ask) bool {
 	q, rest, ok := e.config.queue(a.Host, a.Path)
 	switch {
+	case !ok && e.at.Now.Sub(e.round.doneAt) > configFresh:
+		e.answerAsk(a, JobAnswer{Outcome: JobRefused, Reason: ReasonConfig, RetryAfter: e.comeBack()})
+		return false
 	case !ok:
 		e.answerAsk(a, JobAnswer{Outcome: JobNoQueue, Reason: ReasonService})
 		return false
