core: a task that is done is recorded also when its worker's incarnation is given up

The agent told of the end in the same heartbeat as of the incarnation that was gone, and the claim was released before the ends were taken, so the task ran again. Ruled out: a lost end (the agent held it), the order of edits. Change: ends of tasks that are done are taken first, from fenced incarnations too. A claim that has moved on makes such an end void, as before. Before -> after: TestDoneBeforeItsIncarnationWent fails, passes; all of core passes, fuzzing and mutants included.

--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -55,10 +55,11 @@
 func (e *Entry) beatHeard(ev BeatHeard) {
 	b := ev.Beat
 	w := e.worker(b.Worker)
+	ans := BeatAnswer{Config: e.config.rev, Entries: e.livePeers()}
+	e.doneHeard(w, b, &ans)
 	for _, inc := range b.Gone {
 		e.confirmDead(w, inc)
 	}
-	ans := BeatAnswer{Config: e.config.rev, Entries: e.livePeers()}
 	e.configRows(&ans, b.Config)
 	switch {
 	case w.past[b.Inc] || e.fences[w.id].row.Has(b.Inc):
@@ -78,6 +79,17 @@
 	e.emit(BeatReply{Token: ev.Token, Answer: ans})
 }
 
+// doneHeard takes the ends of tasks that are done, also of an incarnation that is
+// fenced or gone: what has run to its end need not run again, as long as its claim
+// stands. So it comes before claims are released.
+func (e *Entry) doneHeard(w *workerView, b Beat, ans *BeatAnswer) {
+	for _, end := range b.Ends {
+		if end.Kind == EndDone {
+			e.endHeard(w, end, ans)
+		}
+	}
+}
+
 // current reports whether the beat is of the incarnation in use, which it
 // becomes once the one before is known to be dead.
 func (e *Entry) current(w *workerView, b Beat) bool {
@@ -134,7 +146,9 @@
 		e.runningHeard(w, t, ans)
 	}
 	for _, end := range b.Ends {
-		e.endHeard(w, end, ans)
+		if end.Kind != EndDone {
+			e.endHeard(w, end, ans)
+		}
 	}
 	e.observe(w, ans)
 	e.observePress(w, ans)
--- a/core/route_test.go
+++ b/core/route_test.go
@@ -86,3 +86,25 @@
 	}
 	assert.Equal(t, starts, 2, "the queue allows two attempts")
 }
+
+// A task that was done before its worker's incarnation was given up is not started
+// again: its end comes with the beat that says that the incarnation is gone.
+func TestDoneBeforeItsIncarnationWent(t *testing.T) {
+	s := newPressSite(t)
+	s.worker("a", "", 0)
+	s.hear()
+	_, attempt := s.place(core.StepSpec{})
+	b := s.beats["a"]
+	b.Gone = []core.Incarnation{b.Inc}
+	b.Inc = "next"
+	b.Ends = []core.End{{Attempt: attempt, Kind: core.EndDone, Reason: "done"}}
+	s.beats["a"] = b
+	s.all = nil
+	for range 30 {
+		s.hear()
+	}
+	for _, eff := range s.all {
+		n, ok := eff.(core.Note)
+		assert.Assert(t, !ok || n.Text != "task placed", "started again")
+	}
+}
