--- a/core/entryask.go
+++ b/core/entryask.go
@@ -87,7 +87,7 @@
 		return false
 	case jr.Verb == JobGet && rest == "":
 		jr.Verb = JobCount
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, Pending: e.queuedJobs(q.Name)})
+		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, Pending: e.countQueue(q.Name)})
 		return false
 	}
 	s := &jr.Spec
@@ -145,7 +145,7 @@
 	case JobGet, JobStop:
 		e.lookUpOrCancel(jr)
 	case JobCount:
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, Pending: e.queuedJobs(jr.Spec.Queue)})
+		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, Pending: e.countQueue(jr.Spec.Queue)})
 	}
 }
 
@@ -324,34 +324,6 @@
 	return true
 }
 
-// queuedJobs counts the jobs of a queue of which no task has been claimed: those of
-// this entry's shards as of now, those of other entries as of their rows.
-func (e *Entry) queuedJobs(queue string) int {
-	n := e.queuedByQueue()[queue]
-	for id, p := range e.peers {
-		if id != e.self.ID && e.isAlive(p) {
-			n += p.row.Pending[queue]
-		}
-	}
-	return n
-}
-
-// queuedByQueue counts the jobs of this entry's shards of which no task has been
-// claimed, by queue.
-func (e *Entry) queuedByQueue() map[string]int {
-	var n map[string]int
-	for _, j := range e.jobs {
-		if j.foreign || !j.row.stored || j.row.Spec.Queue == "" || j.row.State() != JobQueued {
-			continue
-		}
-		if n == nil {
-			n = map[string]int{}
-		}
-		n[j.row.Spec.Queue]++
-	}
-	return n
-}
-
 // newJob keeps track of a job, which the table may not hold yet.
 func (e *Entry) newJob(row JobRow) *jobView {
 	shard := ShardOf(row.Spec.ID)
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -29,6 +29,8 @@
 	loaded  bool      // the whole shard has been read
 	since   uint64    // table revision up to which it was read
 	reading bool      // a read is in flight
+	began   time.Time // when the newest read began
+	asOf    time.Time // when the last read that succeeded began
 	next    time.Time // when a loaded shard is read again
 }
 
@@ -263,7 +265,7 @@
 		if !sh.loaded {
 			loading++
 		}
-		sh.reading, sh.next = true, e.at.Now.Add(e.pol.ShardReadInterval)
+		sh.reading, sh.began, sh.next = true, e.at.Now, e.at.Now.Add(e.pol.ShardReadInterval)
 		t := e.expect(pendingShard{shard: s})
 		e.emit(ReadChanges{Token: t, Prefix: shardPrefix(s), Since: sh.since})
 	}
@@ -277,13 +279,14 @@
 	sh := &e.shards[w.shard]
 	sh.reading = false
 	if ev.Fault != FaultNone {
+		e.logReadFailed(shardPrefix(w.shard), sh.since, sh.began)
 		e.recordStoreFault("read")
 		return
 	}
 	if !sh.owned {
 		return
 	}
-	sh.loaded = true
+	sh.loaded, sh.asOf = true, sh.began
 	sh.since = max(sh.since, ev.View.Revision)
 	for _, r := range ev.View.Rows {
 		e.applyJobRow(r)
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -79,6 +79,7 @@
 	e.round.outstanding--
 	if ev.Fault != FaultNone {
 		e.round.failed = true
+		e.logReadFailed(roundPrefixes[w.part], e.round.since[w.part], e.round.startedAt)
 		e.recordStoreFault("read")
 	} else {
 		e.breaker.RecordSuccess(e.at.Now)
@@ -99,6 +100,12 @@
 	}
 }
 
+// logReadFailed logs a read of the table's changes that failed: of which rows, since
+// which revision, and how long it took.
+func (e *Entry) logReadFailed(prefix string, since uint64, began time.Time) {
+	e.logEvent("table read failed", string(e.self.ID), "prefix", prefix, "since", since, "took", e.at.Now.Sub(began).String())
+}
+
 // recordStoreFault counts a failed call of the table, logs the first one since the
 // last successful round, and reports the failure to the circuit breaker.
 func (e *Entry) recordStoreFault(call string) {
