core: refuse a count of waiting jobs that is old or partial

Cause: a count was the sum of this entry's jobs in memory and the counts in its peers' rows, whatever their age and whoever was missing. An entry whose reads of the table failed went on adding up what it had read before; shards that had just been taken over, or whose owner had gone, counted as empty. Class: an aggregate over parts that is answered without knowing that each part is covered and recent. Change: an entry publishes a count for each shard that it schedules and has read, with the revision of the table up to which it had read it. Who answers sums the most recent count of each shard and maps its revision to the start of an own read that returned no later one, so no clocks of two processes are compared. A shard without a count of the last visible + 2 s makes the answer a refusal with Retry-After. The bound is the users': a job is visible within visible_ms, and a count may be 2 s old. Why it works: every commit that was answered before an own read began has at most the revision of that read; a count that covers that revision covers the commit. The field of the row that held the sum is gone; rows of the build before count as no report, so counts are refused while both builds run. TestQueueIsFoundByTheLongestPrefix lets the shards be read before it asks for the count; it checks the same.

--- a/config/policy.go
+++ b/config/policy.go
@@ -47,6 +47,7 @@
 		{"shards", Seconds, 0, minute, func(p *core.Policy) any { return &p.ShardReadInterval }},
 		{"silent", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.Silent }},
 		{"suspect", Seconds, 200 * ms, 10 * minute, func(p *core.Policy) any { return &p.Suspect }},
+		{"visible", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.Visible }},
 		{"dead", Seconds, 1, 10 * minute, func(p *core.Policy) any { return &p.EntryTimeout }},
 		{"fence", Seconds, 1 * ms, minute, func(p *core.Policy) any { return &p.FenceInterval }},
 		{"settle", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.SettleAfter }},
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -162,6 +162,7 @@
 	h := newEntryHarness(t)
 	h.post(core.JobRequested{Token: 1, Request: core.JobRequest{Verb: core.JobSubmit, Path: "/other/1", Deadline: h.now.Add(time.Second)}})
 	assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobNoQueue)
+	h.pass(time.Second, true) // a count needs the shards to be read
 	h.post(core.JobRequested{Token: 2, Request: core.JobRequest{Verb: core.JobGet, Path: "/q/", Deadline: h.now.Add(time.Second)}})
 	assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobAccepted)
 }
--- a/core/count_test.go
+++ b/core/count_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayloft/core"
+	"jayloft/table"
 )
 
 // maxCountAge is the users' bound on the age of a count: an accepted job is visible
@@ -65,3 +66,56 @@
 	assert.Equal(t, ans.Outcome, core.JobRefused, "%d jobs are counted before any shard was read", ans.Pending)
 	assert.Assert(t, ans.RetryAfter > 0)
 }
+
+// report returns another entry's row with a report for each shard that holds one waiting
+// job of the test's queue.
+func (h *entryHarness) report(heartbeat, readUpTo uint64) core.EntryRow {
+	row := core.EntryRow{ID: "peer", Addr: "10.0.0.1:1", Heartbeats: heartbeat}
+	for s := range core.Shards {
+		row.Reports = append(row.Reports, core.ShardReport{
+			Shard: s, ReadUpTo: readUpTo, Waiting: map[string]int{testQueue: 1},
+		})
+	}
+	return row
+}
+
+// passWithPeer lets time pass in ticks, in which the table's revision rises and the other
+// entry's row, as f returns it, changes in each read.
+func (h *entryHarness) passWithPeer(d time.Duration, f func() core.EntryRow) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.rev++
+		row := f()
+		h.post(core.Tick{})
+		h.answerReads(map[string][]table.Row{core.PrefixEntry: {h.row(core.PrefixEntry+"peer", row)}})
+	}
+}
+
+// Another entry schedules some of the shards and is alive, but its row says nothing of
+// them: they must not count as empty.
+func TestPendingCountNeedsReportOfEachShard(t *testing.T) {
+	h := newEntryHarness(t)
+	beats := uint64(0)
+	silent := func() core.EntryRow {
+		beats++
+		return core.EntryRow{ID: "peer", Addr: "10.0.0.1:1", Heartbeats: beats}
+	}
+	h.passWithPeer(maxCountAge+time.Second, silent)
+	assert.Equal(t, h.askCount().Outcome, core.JobRefused)
+	h.passWithPeer(time.Second, func() core.EntryRow { beats++; return h.report(beats, h.rev) })
+	ans := h.askCount()
+	assert.Equal(t, ans.Outcome, core.JobAccepted)
+	assert.Assert(t, ans.Pending > 0 && ans.Pending < core.Shards, "%d counted", ans.Pending)
+}
+
+// Another entry is alive and keeps rewriting its row, but has not read its shards for
+// long: its counts are as old as those reads, however new the row is.
+func TestPendingCountOfOldReport(t *testing.T) {
+	h := newEntryHarness(t)
+	beats, read := uint64(0), h.rev
+	stuck := func() core.EntryRow { beats++; return h.report(beats, read) }
+	h.passWithPeer(time.Second, func() core.EntryRow { read = h.rev; return stuck() })
+	assert.Equal(t, h.askCount().Outcome, core.JobAccepted)
+	h.passWithPeer(maxCountAge+time.Second, stuck)
+	assert.Equal(t, h.askCount().Outcome, core.JobRefused)
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -87,7 +87,7 @@
 		return false
 	case jr.Verb == JobGet && rest == "":
 		jr.Verb = JobCount
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, Pending: e.countQueue(q.Name)})
+		e.answerJobRequest(jr, e.answerCount(q.Name))
 		return false
 	}
 	s := &jr.Spec
@@ -145,7 +145,7 @@
 	case JobGet, JobStop:
 		e.lookUpOrCancel(jr)
 	case JobCount:
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, Pending: e.countQueue(jr.Spec.Queue)})
+		e.answerJobRequest(jr, e.answerCount(jr.Spec.Queue))
 	}
 }
 
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -1,54 +1,145 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// queueCount is the number of a queue's jobs that wait, by who counted them, with what
-// shows whether it is complete and how old it is.
+// Counts of waiting jobs are sums over all shards. Each shard is counted by the entry
+// that schedules it, which publishes its counts in its row of the table, so a sum may rest
+// on what several processes knew at different times. It is answered only if every shard is
+// covered by a count that is recent enough, and refused otherwise: during restarts,
+// handovers and outages a smaller number would look like a short queue.
+
+// countInterval is how much older than Policy.Visible a count may be: the time for it to
+// travel from the entry that schedules a shard to the one that answers.
+const countInterval = 2 * time.Second
+
+// maxCountAge returns the maximum age of what a count of waiting jobs rests on.
+func (p *Policy) maxCountAge() time.Duration { return p.Visible + countInterval }
+
+// readMark records that a read of the table that began at a time returned a revision.
+// All that was committed before the read began has at most that revision.
+type readMark struct {
+	began    time.Time
+	revision uint64
+}
+
+// mark records a read of the newest round, and drops the marks of reads before a time.
+func (r *readRound) mark(revision uint64, drop time.Time) {
+	r.marks = slices.DeleteFunc(r.marks, func(m readMark) bool { return m.began.Before(drop) })
+	r.marks = append(r.marks, readMark{began: r.startedAt, revision: revision})
+}
+
+// timeOf returns a time before which every commit is covered by a view of the table up to
+// a revision, wherever that view was taken: no clocks of two processes are compared. It
+// returns zero if the view is older than all marks.
+func (r *readRound) timeOf(revision uint64) time.Time {
+	var t time.Time
+	for _, m := range r.marks {
+		if m.revision <= revision {
+			t = latest(t, m.began)
+		}
+	}
+	return t
+}
+
+// shardCount is a count of the waiting jobs of one shard.
+type shardCount struct {
+	waiting int
+	asOf    time.Time // every commit before it is counted; zero if nobody has counted
+}
+
+// queueCount is the count of a queue's waiting jobs in all shards.
 type queueCount struct {
-	own, others int
-	entries     int       // other live entries whose rows were summed up
-	unread      int       // owned shards that have not been read yet
-	asOf        time.Time // when the oldest part was known to be current
-	claimed     int       // own jobs with claims, none of which is known to have started
+	waiting int
+	asOf    time.Time // of the oldest part; zero if a part is missing
+	missing int       // shards that nobody has counted recently enough
+	claimed int       // own jobs with claims, none of which is known to have started
 }
 
-// countQueue counts the jobs of a queue of which no task has been claimed: those of
-// this entry's shards as of now, those of other entries as of their rows.
-func (e *Entry) countQueue(queue string) int {
-	n := queueCount{own: e.queuedByQueue()[queue], claimed: e.unstartedJobs(queue), asOf: e.round.asOf}
+// answerCount answers a request for the number of a queue's waiting jobs.
+func (e *Entry) answerCount(queue string) JobAnswer {
+	n := e.countQueue(queue)
+	ans := JobAnswer{Outcome: JobAccepted, Pending: n.waiting}
+	if n.missing > 0 {
+		ans = JobAnswer{Outcome: JobRefused, Reason: ReasonStale, RetryAfter: e.countRetryAfter()}
+	}
+	e.logEvent("queue counted", queue, "waiting", n.waiting, "missing", n.missing,
+		"age", e.at.Now.Sub(n.asOf).String(), "claimed", n.claimed, "outcome", string(ans.Outcome))
+	return ans
+}
+
+// countRetryAfter returns when a missing part of a count may be there: after the next
+// publication and the next read of it.
+func (e *Entry) countRetryAfter() time.Duration {
+	return max(e.storeRetryAfter(), e.publishInterval()+e.pol.ReadInterval)
+}
+
+// countQueue counts a queue's waiting jobs from the most recent count of each shard.
+func (e *Entry) countQueue(queue string) queueCount {
+	own := e.waitingByShard()
+	n := queueCount{claimed: e.unstartedJobs(queue), asOf: e.at.Now}
+	for s := range e.shards {
+		c := e.countShard(s, queue, own[s])
+		n.waiting += c.waiting
+		if c.asOf.IsZero() || e.at.Now.Sub(c.asOf) > e.pol.maxCountAge() {
+			n.missing++
+		}
+		if c.asOf.Before(n.asOf) {
+			n.asOf = c.asOf
+		}
+	}
+	return n
+}
+
+// countShard returns the most recent count of a shard's waiting jobs: this entry's, if it
+// schedules the shard, or one that another entry has published.
+func (e *Entry) countShard(shard int, queue string, own map[string]int) shardCount {
+	var c shardCount
+	if sh := &e.shards[shard]; sh.owned && sh.loaded {
+		c = shardCount{waiting: own[queue], asOf: sh.asOf}
+	}
 	for id, p := range e.peers {
-		if id != e.self.ID && e.isAlive(p) {
-			n.others += p.row.Pending[queue]
-			n.entries++
-			n.asOf = earliest(n.asOf, p.changed)
+		if id == e.self.ID {
+			continue
+		}
+		for _, r := range p.row.Reports {
+			if r.Shard != shard {
+				continue
+			}
+			if t := e.round.timeOf(r.ReadUpTo); t.After(c.asOf) {
+				c = shardCount{waiting: r.Waiting[queue], asOf: t}
+			}
 		}
 	}
-	for i := range e.shards {
-		sh := &e.shards[i]
-		switch {
-		case sh.owned && !sh.loaded:
-			n.unread++
-		case sh.owned:
-			n.asOf = earliest(n.asOf, sh.asOf)
+	return c
+}
+
+// shardReports returns the counts of waiting jobs that this entry publishes.
+func (e *Entry) shardReports() []ShardReport {
+	own := e.waitingByShard()
+	var rs []ShardReport
+	for s := range e.shards {
+		if sh := &e.shards[s]; sh.owned && sh.loaded {
+			rs = append(rs, ShardReport{Shard: s, ReadUpTo: sh.since, Waiting: own[s]})
 		}
 	}
-	e.logEvent("queue counted", queue, "pending", n.own+n.others, "own", n.own, "others", n.others, "entries", n.entries,
-		"unread", n.unread, "age", e.at.Now.Sub(n.asOf).String(), "claimed", n.claimed)
-	return n.own + n.others
+	return rs
 }
 
-// queuedByQueue counts the jobs of this entry's shards of which no task has been
-// claimed, by queue.
-func (e *Entry) queuedByQueue() map[string]int {
-	var n map[string]int
+// waitingByShard counts the jobs in memory of which no task has been claimed, by shard
+// and queue.
+func (e *Entry) waitingByShard() [Shards]map[string]int {
+	var n [Shards]map[string]int
 	for _, j := range e.jobs {
 		if j.foreign || !j.row.stored || j.row.Spec.Queue == "" || j.row.State() != JobQueued {
 			continue
 		}
-		if n == nil {
-			n = map[string]int{}
+		if n[j.shard] == nil {
+			n[j.shard] = map[string]int{}
 		}
-		n[j.row.Spec.Queue]++
+		n[j.shard][j.row.Spec.Queue]++
 	}
 	return n
 }
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -22,6 +22,7 @@
 	outstanding int       // number of answers that are missing
 	failed      bool      // some part of the newest round failed
 	since       [3]uint64 // table revision up to which each prefix was read
+	marks       []readMark
 }
 
 // roundPrefixes are the key prefixes that each round reads.
@@ -83,6 +84,7 @@
 		e.recordStoreFault("read")
 	} else {
 		e.breaker.RecordSuccess(e.at.Now)
+		e.round.mark(ev.View.Revision, e.at.Now.Add(-e.pol.maxCountAge()))
 		e.applyRoundPart(w.part, ev.View)
 	}
 	if e.round.outstanding > 0 || e.round.failed {
--- a/core/policy.go
+++ b/core/policy.go
@@ -33,6 +33,9 @@
 	// Suspect is the time without a heartbeat after which an entry queries the other
 	// entries about a worker and fences it if none has received one.
 	Suspect time.Duration
+	// Visible is how long after its acceptance a job may be missing from what callers are
+	// told of other entries' jobs.
+	Visible time.Duration
 	// EntryTimeout is how long an entry's row may stay unchanged before the other
 	// entries consider it dead.
 	EntryTimeout time.Duration
@@ -118,6 +121,7 @@
 		ReadInterval:       500 * time.Millisecond,
 		Silent:             1500 * time.Millisecond,
 		Suspect:            3 * time.Second,
+		Visible:            3 * time.Second,
 		EntryTimeout:       6 * time.Second,
 		FenceInterval:      200 * time.Millisecond,
 		SettleAfter:        3 * time.Second,
--- a/core/rows.go
+++ b/core/rows.go
@@ -115,9 +115,18 @@
 	ID         EntryID `cbor:"1,keyasint"`
 	Addr       string  `cbor:"2,keyasint"` // of EntryService
 	Heartbeats uint64  `cbor:"3,keyasint"` // counts the rewrites of the row
-	// Pending counts, by queue, the accepted jobs of the entry's shards none of
-	// whose tasks has been claimed.
-	Pending map[string]int `cbor:"4,keyasint,omitempty"`
+	// Reports count the waiting jobs of the shards that the entry schedules. A shard
+	// without a report has not been read by the entry.
+	Reports []ShardReport `cbor:"5,keyasint,omitempty"`
+}
+
+// ShardReport is an entry's count of the waiting jobs in one shard.
+type ShardReport struct {
+	Shard int `cbor:"1,keyasint"`
+	// ReadUpTo is the revision of the table up to which the entry has read the shard.
+	ReadUpTo uint64 `cbor:"2,keyasint"`
+	// Waiting counts the accepted jobs none of whose tasks has been claimed, by queue.
+	Waiting map[string]int `cbor:"3,keyasint,omitempty"`
 }
 
 // FenceRow lists the fenced incarnations of a worker: their claims have been or
