core: read a job's row when the view of its shard is old

The same cause as in the count of waiting jobs: GET of a job and 'why' were answered from memory as long as the entry believed to schedule the job, however long ago it had read the shard. An entry that can't read keeps its last assignment of shards, while its peers have taken them over and moved the jobs on. TestJobStateOfOldView and TestWhyOfOldView failed before: a state over 5 s old was answered, and 'why' did not tell its age. Change: memory serves only while the shard was read within visible + 2 s; else the row is read, and while the table is away GET is refused with Retry-After and 'why' says how old its view is. Cancelling keeps its path: it is a conditional write.

--- a/core/count_test.go
+++ b/core/count_test.go
@@ -119,3 +119,39 @@
 	h.passWithPeer(maxCountAge+time.Second, stuck)
 	assert.Equal(t, h.askCount().Outcome, core.JobRefused)
 }
+
+// An entry that can't read the table must not report the state that a job had when it
+// could: another entry may have moved it on.
+func TestJobStateOfOldView(t *testing.T) {
+	h := newEntryHarness(t)
+	h.pass(time.Second, true)
+	h.submit()
+	h.commitAll(testJob)
+	get := core.JobRequested{Token: 501, Request: core.JobRequest{Verb: core.JobGet, Path: testJobPath, Deadline: h.now.Add(time.Minute)}}
+	h.post(get)
+	assert.Equal(t, mustFind[core.JobReply](h).Answer.State, core.JobQueued)
+	h.pass(maxCountAge+time.Second, false)
+	h.post(get)
+	if r, ok := find[core.JobReply](h); ok {
+		assert.Equal(t, r.Answer.Outcome, core.JobRefused, "state %q is over %s old", r.Answer.State, maxCountAge)
+		assert.Assert(t, r.Answer.RetryAfter > 0)
+	} else {
+		mustFind[core.ReadRows](h)
+	}
+}
+
+// An entry that can't read the table says how old its view of a job is.
+func TestWhyOfOldView(t *testing.T) {
+	h := newEntryHarness(t)
+	h.pass(time.Second, true)
+	h.submit()
+	h.commitAll(testJob)
+	h.pass(maxCountAge+time.Second, false)
+	h.post(core.CommandAsked{Token: 9, ID: "c", Command: core.Why{Kind: "job", ID: string(testJob)}})
+	if r, ok := find[core.CommandReply](h); ok {
+		last := r.Result.Rows[len(r.Result.Rows)-1]
+		assert.Equal(t, last[0], "read", "the answer does not tell its age: %q", r.Result.Rows)
+	} else {
+		mustFind[core.ReadRows](h)
+	}
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -207,11 +207,11 @@
 	return e.storeRetryAfter()
 }
 
-// lookUpOrCancel answers from memory if the job's row is known, and else reads the
-// row: only a read proves that there is no such job.
+// lookUpOrCancel answers from memory if the job's row is known and, for its state, recent
+// enough. Otherwise it reads the row: only a read proves that there is no such job.
 func (e *Entry) lookUpOrCancel(jr *openJobRequest) {
 	j := e.jobs[jr.Spec.ID]
-	if j != nil && j.row.stored && (!j.foreign || jr.Verb == JobStop) {
+	if j != nil && j.row.stored && (jr.Verb == JobStop || e.isCurrent(j)) {
 		e.serveFromRow(jr, j)
 		return
 	}
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -88,6 +88,13 @@
 	e.reconcileAll(j)
 }
 
+// isCurrent reports whether this entry schedules the job and has read its shard recently
+// enough to answer from memory. Another entry may have taken the shard over otherwise.
+func (e *Entry) isCurrent(j *jobView) bool {
+	sh := &e.shards[j.shard]
+	return !j.foreign && sh.owned && sh.loaded && e.at.Now.Sub(sh.asOf) <= e.pol.maxCountAge()
+}
+
 // forget drops a job from memory, or marks it foreign until its pending edits and
 // requests are done.
 func (e *Entry) forget(id JobID, j *jobView) {
--- a/core/entrywhy.go
+++ b/core/entrywhy.go
@@ -16,15 +16,16 @@
 
 func (pendingWhy) pendingAnswer() {}
 
-// handleWhyAsked answers `why`. The row of a job that is not in memory is read from
-// the table.
+// handleWhyAsked answers `why`. The row of a job that is not in memory, or was not read
+// recently, is read from the table.
 func (e *Entry) handleWhyAsked(t Token, cmd Why) {
 	id := JobID(cmd.ID)
 	if cmd.Kind == "task" {
 		id = ParseTask(cmd.ID).Job
 	}
 	job := cmd.Kind == "task" || cmd.Kind == "job"
-	if !job || e.jobs[id] != nil || !e.hasConfig() || e.breaker.IsOpen(e.at.Now) {
+	j := e.jobs[id]
+	if !job || j != nil && e.isCurrent(j) || !e.hasConfig() || e.breaker.IsOpen(e.at.Now) {
 		e.replyCommand(t, e.why(cmd))
 		return
 	}
@@ -105,7 +106,21 @@
 	if j == nil || id.N >= len(j.row.Tasks) {
 		return nil
 	}
-	return e.taskReasons(j, id.N)
+	return append(e.taskReasons(j, id.N), e.ageReasons(j)...)
+}
+
+// ageReasons returns the row of the answer that says how old this entry's view of the job
+// is; none if it is current.
+func (e *Entry) ageReasons(j *jobView) [][]string {
+	if e.isCurrent(j) {
+		return nil
+	}
+	sh := &e.shards[j.shard]
+	if sh.asOf.IsZero() {
+		return [][]string{{"read", "not yet; the table holds the job's present state"}}
+	}
+	age := e.at.Now.Sub(sh.asOf).Round(time.Millisecond)
+	return [][]string{{"read", age.String() + " ago; the table holds the job's present state"}}
 }
 
 // taskReasons returns the rows of the answer to `why task`.
@@ -169,7 +184,7 @@
 	if j == nil {
 		return nil
 	}
-	return jobReasons(j)
+	return append(jobReasons(j), e.ageReasons(j)...)
 }
 
 // jobReasons returns the rows of the answer to `why job`.
