core: send agents no queues

Cause: an entry answers heartbeats with all configuration rows that changed, and each new version of the operator's configuration rewrites the row of all queues. Agents never read that row. Bytes grow with queues x agents x versions. Change: rows for agents leave the queues out.

--- a/core/conf.go
+++ b/core/conf.go
@@ -13,7 +13,7 @@
 	rev     uint64 // table version of KeyVersion; zero before the first read
 	changes uint64 // number of changes, as shown to operators
 
-	delta      []table.Row // the last result of changedSince; nil after a change
+	delta      []table.Row // the last result of agentRowsSince; nil after a change
 	deltaSince uint64      // the revision that delta was computed for
 }
 
@@ -65,15 +65,17 @@
 	return nil
 }
 
-// changedSince returns the rows written after a revision, by key. Nearly all
-// agents ask for the same revision, so the last result is cached.
-func (v *confView) changedSince(rev uint64) []table.Row {
+// agentRowsSince returns the rows for agents that were written after a revision, by key.
+// The queues are not among them: agents make no use of them, and their row may be as large
+// as all other rows together. Nearly all agents ask for the same revision, so the last
+// result is cached.
+func (v *confView) agentRowsSince(rev uint64) []table.Row {
 	if v.delta != nil && v.deltaSince == rev {
 		return v.delta
 	}
 	rows := []table.Row{}
-	for _, r := range v.rows {
-		if r.row.Version > rev {
+	for key, r := range v.rows {
+		if r.row.Version > rev && key != KeyQueues {
 			rows = append(rows, r.row)
 		}
 	}
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -197,7 +197,7 @@
 		return
 	}
 	ans.Full = have == 0
-	ans.Rows = e.config.changedSince(have)
+	ans.Rows = e.config.agentRowsSince(have)
 }
 
 // committed returns the resources that are committed on a worker, and the part of them
