core: don't call a job too large before all agents are heard

A job was refused as fitting no worker ('never', retry in 30 s) when it fitted none of the workers heard so far; right after a start these may be one of many. TestLargeJobIsNotRefusedBeforeAllAgentsAreHeard failed before: refused, never, 30 s. Change: capacity is judged only once agents have had time for their first heartbeats, the same time that the readiness check waits for; until then the job is accepted and waits, as it did when no worker was known. One function serves submissions, commands and parking.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -407,3 +407,28 @@
 	assert.Equal(t, ans.Reason, core.ReasonConfig)
 	assert.Assert(t, ans.RetryAfter > 0)
 }
+
+// An entry that has just started has heard only some of the agents. A job that fits none
+// of their workers may fit another one: it must not be refused as if none could hold it.
+func TestLargeJobIsNotRefusedBeforeAllAgentsAreHeard(t *testing.T) {
+	h := newEntryHarness(t)
+	h.sendHeartbeat(1)
+	h.commitAll("")
+	submit := func(token core.Token, path string) (core.JobAnswer, bool) {
+		h.post(core.JobRequested{Token: token, Request: core.JobRequest{
+			Verb: core.JobSubmit, Path: path, Deadline: h.now.Add(time.Second),
+			Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 8000}}}},
+		}})
+		r, ok := find[core.JobReply](h)
+		return r.Answer, ok
+	}
+	ans, ok := submit(81, "/q/early")
+	assert.Assert(t, !ok, "answered at once: %v", ans)
+	h.commitAll("")
+	h.pass(4*core.DefaultPolicy().HeartbeatInterval, true)
+	h.sendHeartbeat(1)
+	h.commitAll("")
+	ans, ok = submit(82, "/q/late")
+	assert.Assert(t, ok)
+	assert.Equal(t, ans.Reason, core.ReasonUnplaceable)
+}
--- a/core/entry.go
+++ b/core/entry.go
@@ -232,7 +232,13 @@
 // Ready reports whether the entry may serve: it has read the configuration, is not
 // leaving, and the agents have had time to send their first heartbeats.
 func (e *Entry) Ready() bool {
-	return e.hasConfig() && !e.leaving && e.at.Now.Sub(e.startedAt) > announceHeartbeats*e.pol.HeartbeatInterval
+	return e.hasConfig() && !e.leaving && e.hasHeardAgents()
+}
+
+// hasHeardAgents reports whether the agents have had time to send their first heartbeats
+// to this process.
+func (e *Entry) hasHeardAgents() bool {
+	return e.at.Now.Sub(e.startedAt) > announceHeartbeats*e.pol.HeartbeatInterval
 }
 
 // announceHeartbeats is the number of heartbeat intervals within which agents
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -186,7 +186,7 @@
 // fitsNoWorker reports whether the job has a step whose tasks exceed the capacity of
 // every known worker.
 func (e *Entry) fitsNoWorker(s *JobSpec) bool {
-	return e.index.Len() > 0 && slices.ContainsFunc(s.Steps, func(st StepSpec) bool { return !e.index.Possible(st.Size) })
+	return slices.ContainsFunc(s.Steps, func(st StepSpec) bool { return e.exceedsAllWorkers(st.Size) })
 }
 
 // usesUnsupported reports whether a job uses features that are not implemented:
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -327,7 +327,7 @@
 // recordNoRoom records why a task waits. A task that no known worker could hold for
 // longer than parkAfter is parked, unless its job came in through a queue.
 func (e *Entry) recordNoRoom(j *jobView, n int) {
-	if e.index.Len() == 0 || e.index.Possible(j.row.Spec.Step(n).Size) {
+	if !e.exceedsAllWorkers(j.row.Spec.Step(n).Size) {
 		j.waitReasons[n] = ReasonRoom
 		j.unplaceableSince = time.Time{}
 		return
@@ -342,6 +342,12 @@
 	}
 }
 
+// exceedsAllWorkers reports whether a size exceeds the capacity of every worker. It reports
+// false as long as workers may exist that this entry has not heard of.
+func (e *Entry) exceedsAllWorkers(s Size) bool {
+	return e.hasHeardAgents() && e.index.Len() > 0 && !e.index.Possible(s)
+}
+
 func sortConds(cs []table.Cond) {
 	sort.Slice(cs, func(i, j int) bool { return cs[i].Key < cs[j].Key })
 }
--- a/core/plan.go
+++ b/core/plan.go
@@ -106,7 +106,7 @@
 		return plan{}, refused("a job has 1 to %d tasks, not %d", MaxTasks, len(spec.Inputs))
 	case spec.Size.Millicores <= 0 || spec.Size.MemoryMB < 0 || spec.Size.Accelerators < 0:
 		return plan{}, refused("a task needs some CPU and no negative size: %v", spec.Size)
-	case e.index.Len() > 0 && !e.index.Possible(spec.Size):
+	case e.exceedsAllWorkers(spec.Size):
 		e.count("command", ReasonUnplaceable)
 		return plan{}, refused("a task of %v fits no worker", spec.Size)
 	}
