core: mark what 'show' lists from a partial or old view

'show jobs' and 'show tasks' read the table and are refused if a part can't be read; they were sound. Change: refused before the configuration is read; a note behind the rows while agents may not have been heard or the last complete read is over visible + 2 s old. Operators need the list during an outage, so it is not refused then. The test of printed rows checks the note.

--- a/cmd/jayloft/query_test.go
+++ b/cmd/jayloft/query_test.go
@@ -81,10 +81,10 @@
 		{
 			name: "rows", statement: "show dcs", want: subcommands.ExitSuccess, asked: []int{1},
 			answers: [][]*wire.DoResponse{{{
-				Outcome: "done", Version: 7, Columns: []string{"dc", "state"},
+				Outcome: "done", Version: 7, Columns: []string{"dc", "state"}, Text: "just started",
 				Rows: []*wire.Cells{{Cells: []string{"bog-1", "in"}}, {Cells: []string{"m", ""}}},
 			}}},
-			out: "dc     state\nbog-1  in\nm      -\n2 rows (version 7)\n",
+			out: "dc     state\nbog-1  in\nm      -\n2 rows (version 7)\n", errs: "note: just started\n",
 		},
 		{
 			name: "another entry takes what one can't", statement: "drain dc med-1",
--- a/cmd/jayloft/result.go
+++ b/cmd/jayloft/result.go
@@ -116,6 +116,9 @@
 		printf(p.errs, "%v\n", err)
 	}
 	printf(p.out, "%d rows (version %d)\n", len(res.GetRows()), res.GetVersion())
+	if res.GetText() != "" {
+		printf(p.errs, "note: %s\n", res.GetText())
+	}
 }
 
 // tableLine returns cells as one line of a table. Line breaks and tabs within a
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -9,8 +9,12 @@
 )
 
 // show answers a query. Jobs and tasks are read from the table; everything else is
-// this entry's own view.
+// this entry's own view, and is marked if that may be incomplete or old.
 func (e *Entry) show(t Token, cmd Show) {
+	if !e.hasConfig() {
+		e.replyCommand(t, CommandResult{Outcome: CommandRefused, Text: commandRefusalText[ReasonConfig], RetryAfter: e.storeRetryAfter()})
+		return
+	}
 	if cmd.Kind == "tasks" || cmd.Kind == "jobs" {
 		if reason := e.checkCommand(); reason == ReasonStore || reason == ReasonConfig {
 			e.replyCommand(t, CommandResult{Outcome: CommandRefused, Text: commandRefusalText[reason], RetryAfter: e.storeRetryAfter()})
@@ -24,7 +28,24 @@
 		e.replyCommand(t, *refused("show: unknown kind %q", cmd.Kind))
 		return
 	}
-	e.replyCommand(t, e.filter(cmd, cols, rows))
+	res := e.filter(cmd, cols, rows)
+	if res.Outcome == CommandDone {
+		res.Text = e.viewCaveat()
+	}
+	e.replyCommand(t, res)
+}
+
+// viewCaveat returns in what way this entry's own view may be incomplete or old; empty if
+// it is neither.
+func (e *Entry) viewCaveat() string {
+	age := e.at.Now.Sub(e.round.asOf)
+	switch {
+	case !e.hasHeardAgents():
+		return "this entry has just started: it may not have heard all workers yet"
+	case age > e.pol.maxCountAge():
+		return fmt.Sprintf("this entry has not read the table completely for %s", age.Round(time.Millisecond))
+	}
+	return ""
 }
 
 // handleShowAnswered adds the jobs of one shard to the answer and reads the next shard.
