core: keep published counts when their entry ends

Change: the most recent report of each shard is kept with the shard and not with the entry that published it; its revision says how long it holds.

--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -94,26 +94,28 @@
 }
 
 // countShard returns the most recent count of a shard's waiting jobs: this entry's, if it
-// schedules the shard, or one that another entry has published.
+// schedules the shard, or the one that another entry has published.
 func (e *Entry) countShard(shard int, queue string, own map[string]int) shardCount {
-	var c shardCount
-	if sh := &e.shards[shard]; sh.owned && sh.loaded {
-		c = shardCount{waiting: own[queue], asOf: sh.asOf}
+	sh := &e.shards[shard]
+	published := e.round.timeOf(sh.published.ReadUpTo)
+	if sh.owned && sh.loaded && !published.After(sh.asOf) {
+		return shardCount{waiting: own[queue], asOf: sh.asOf}
 	}
-	for id, p := range e.peers {
-		if id == e.self.ID {
+	return shardCount{waiting: sh.published.Waiting[queue], asOf: published}
+}
+
+// applyReports keeps the reports that another entry has published, where they are the most
+// recent ones. They hold as of the revision that they name, so they are kept when that
+// entry ends.
+func (e *Entry) applyReports(reports []ShardReport) {
+	for _, r := range reports {
+		if r.Shard < 0 || r.Shard >= Shards {
 			continue
 		}
-		for _, r := range p.row.Reports {
-			if r.Shard != shard {
-				continue
-			}
-			if t := e.round.timeOf(r.ReadUpTo); t.After(c.asOf) {
-				c = shardCount{waiting: r.Waiting[queue], asOf: t}
-			}
+		if sh := &e.shards[r.Shard]; r.ReadUpTo >= sh.published.ReadUpTo {
+			sh.published = r
 		}
 	}
-	return c
 }
 
 // shardReports returns the counts of waiting jobs that this entry publishes.
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -31,7 +31,9 @@
 	reading bool      // a read is in flight
 	began   time.Time // when the newest read began
 	asOf    time.Time // when the last read that succeeded began
-	next    time.Time // when a loaded shard is read again
+
+	published ShardReport // the most recent one of another entry
+	next      time.Time   // when a loaded shard is read again
 }
 
 // pendingMember awaits a write whose result needs no action: of this entry's own
@@ -117,6 +119,9 @@
 		return
 	}
 	p.row, p.version, p.changed = row, r.Version, e.at.Now
+	if row.ID != e.self.ID {
+		e.applyReports(row.Reports)
+	}
 	addr, err := netip.ParseAddrPort(row.Addr)
 	if err != nil {
 		e.logNote("entry row without an address", r.Key, err.Error())
