all: rename package story to trace

Cause: the name story is figurative; the package orders the log lines of one id. Change: directory, files, package clause, imports and their uses. jayloft explain prints what it printed.

--- a/cmd/jayloft/explain.go
+++ b/cmd/jayloft/explain.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/subcommands"
 
-	"jayloft/story"
+	"jayloft/trace"
 )
 
 // explainCommand prints the history of a job or task from logs.
@@ -41,7 +41,7 @@
 		fmt.Fprintln(os.Stderr, "explain: want an id and at least one file")
 		return subcommands.ExitUsageError
 	}
-	s := story.New(f.Arg(0))
+	s := trace.New(f.Arg(0))
 	for _, path := range f.Args()[1:] {
 		if err := readLog(s, path); err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -58,7 +58,7 @@
 	return subcommands.ExitSuccess
 }
 
-func readLog(s *story.Timeline, path string) error {
+func readLog(s *trace.Timeline, path string) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return err
--- a/story/story.go
+++ b/trace/trace.go
@@ -1,4 +1,4 @@
-// Package story reconstructs the history of one job, task or worker from the logs of
+// Package trace reconstructs the history of one job, task or worker from the logs of
 // several processes.
 //
 // It reads JSON lines as written by package logs, each possibly behind a prefix added by
@@ -7,10 +7,10 @@
 //
 // # Usage
 //
-//	s := story.New("0123456789abcdef")
+//	s := trace.New("0123456789abcdef")
 //	err := s.Read("entry-1.log", file)
 //	err = s.Write(os.Stdout)
-package story
+package trace
 
 import (
 	"bufio"
--- a/story/story_test.go
+++ b/trace/trace_test.go
@@ -1,4 +1,4 @@
-package story_test
+package trace_test
 
 import (
 	"strings"
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"jayloft/story"
+	"jayloft/trace"
 )
 
 const entryLog = `{"time":"2026-12-04T05:00:00.1Z","level":"info","message":"job taken","fields":{"subject":"a1","entry":"e1","tasks":1}}
@@ -20,9 +20,9 @@
 {"broken
 `
 
-func read(t *testing.T, id string) *story.Timeline {
+func read(t *testing.T, id string) *trace.Timeline {
 	t.Helper()
-	s := story.New(id)
+	s := trace.New(id)
 	assert.NilError(t, s.Read("entry.log", strings.NewReader(entryLog)))
 	assert.NilError(t, s.Read("agent.log", strings.NewReader(agentLog)))
 	return s
