all: rename package press to interf

Cause: the name press is figurative; the package learns interference. The table press, its row keys, the log and wire fields keep their names. Imports and a comment's alignment follow gofmt.

--- a/core/agentpace.go
+++ b/core/agentpace.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"jayloft/interf"
 	"jayloft/pace"
-	"jayloft/press"
 )
 
 // usageDelay is the time after a change of speed from which the measured CPU usage
@@ -76,7 +76,7 @@
 		x := byImage[t.order.Class]
 		fraction := float64(t.tailLatency) / float64(t.order.Target)
 		x.Image, x.Worst = t.order.Class, max(x.Worst, fraction)
-		x.Utilization += press.Utilization(fraction)
+		x.Utilization += interf.Utilization(fraction)
 		x.Tasks++
 		byImage[t.order.Class] = x
 	}
@@ -118,7 +118,7 @@
 // weightedMillicores returns the CPU of a best-effort task at its present speed,
 // in millicores, weighted by how much of it the task uses.
 func (t *heldTask) weightedMillicores() float64 {
-	return float64(t.order.Size.Millicores) * float64(pace.FullSpeed-t.throttledBy) / pace.FullSpeed * press.Weight(t.utilization)
+	return float64(t.order.Size.Millicores) * float64(pace.FullSpeed-t.throttledBy) / pace.FullSpeed * interf.Weight(t.utilization)
 }
 
 // interferenceOf returns the interference of a best-effort image, by long-running
--- a/core/entry.go
+++ b/core/entry.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"jayloft/interf"
 	"jayloft/limit"
 	"jayloft/noise"
 	"jayloft/place"
-	"jayloft/press"
 	"jayloft/table"
 )
 
@@ -60,8 +60,8 @@
 	retryShare, hedgeShare float64
 	recent                 recentLog
 	noise                  noise.Model
-	interference           press.Learner // interference of best-effort with long-running tasks
-	nextInterference       time.Time     // when it is next stored; zero until the stored row was requested
+	interference           interf.Learner // interference of best-effort with long-running tasks
+	nextInterference       time.Time      // when it is next stored; zero until the stored row was requested
 
 	commands    map[string]*command       // commands that change something, by id
 	jobRequests map[Token]*openJobRequest // by the token of the event
--- a/core/entryinterference.go
+++ b/core/entryinterference.go
@@ -3,19 +3,19 @@
 import (
 	"time"
 
-	"jayloft/press"
+	"jayloft/interf"
 )
 
 // observeInterference updates the learnt interference of best-effort with long-running
 // tasks from a heartbeat, and returns the estimates for the worker's pairs of images
 // in the answer.
 func (e *Entry) observeInterference(w *workerView, ans *HeartbeatAnswer) {
-	window := press.Window{Number: w.heartbeat.Window}
+	window := interf.Window{Number: w.heartbeat.Window}
 	for _, f := range w.heartbeat.BestEffort {
-		window.Loads = append(window.Loads, press.Load{Image: f.Image, Share: w.cpuFraction(f.Millicores)})
+		window.Loads = append(window.Loads, interf.Load{Image: f.Image, Share: w.cpuFraction(f.Millicores)})
 	}
 	for _, t := range w.heartbeat.TailLatencies {
-		window.TailLatencies = append(window.TailLatencies, press.TailLatency{Image: t.Image, Utilization: t.Utilization, Tasks: t.Tasks})
+		window.TailLatencies = append(window.TailLatencies, interf.TailLatency{Image: t.Image, Utilization: t.Utilization, Tasks: t.Tasks})
 	}
 	e.interference.Observe(string(w.id), window)
 	for _, t := range w.heartbeat.TailLatencies {
--- a/core/press_test.go
+++ b/core/press_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayloft/core"
-	"jayloft/press"
+	"jayloft/interf"
 	"jayloft/table"
 )
 
@@ -65,7 +65,7 @@
 	}
 	if image != "" {
 		b.TargetedTasks, b.LongRunning, b.Committed = 1, 8000, core.Size{Millicores: 8000, MemoryMB: 8000}
-		b.TailLatencies = []core.ImageTailLatency{{Image: image, Worst: tail, Utilization: press.Utilization(tail), Tasks: 1}}
+		b.TailLatencies = []core.ImageTailLatency{{Image: image, Worst: tail, Utilization: interf.Utilization(tail), Tasks: 1}}
 	}
 	s.heartbeats[id] = b
 	s.order = append(s.order, id)
--- a/core/rows.go
+++ b/core/rows.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"jayloft/press"
+	"jayloft/interf"
 )
 
 // Prefixes of the table's keys, and keys of single rows.
@@ -101,7 +101,7 @@
 // InterferenceRow stores the learnt interference of best-effort with long-running
 // tasks, so that it survives restarts of the entries.
 type InterferenceRow struct {
-	Pairs []press.Pair `cbor:"1,keyasint"`
+	Pairs []interf.Pair `cbor:"1,keyasint"`
 }
 
 // VersionRow counts the configuration changes.
--- a/press/press.go
+++ b/interf/interf.go
@@ -1,4 +1,4 @@
-// Package press learns the interference of best-effort tasks with the long-running
+// Package interf learns the interference of best-effort tasks with the long-running
 // tasks on the same VM: how much they raise the tail latency of those.
 //
 // It handles one load pattern: a few pairs of images interfere strongly and most
@@ -22,19 +22,19 @@
 //
 // # Usage
 //
-//	var l press.Learner
-//	l.Observe("worker-1", press.Window{
+//	var l interf.Learner
+//	l.Observe("worker-1", interf.Window{
 //		Number: 7,
-//		TailLatencies: []press.TailLatency{
-//			{Image: "api", Utilization: press.Utilization(0.8), Tasks: 2},
+//		TailLatencies: []interf.TailLatency{
+//			{Image: "api", Utilization: interf.Utilization(0.8), Tasks: 2},
 //		},
-//		Loads: []press.Load{{Image: "import", Share: 0.3 * press.Weight(0.9)}},
+//		Loads: []interf.Load{{Image: "import", Share: 0.3 * interf.Weight(0.9)}},
 //	})
 //	added := l.Interference("api", "import") * 0.1 // by imports on a tenth of the VM
-//	if press.Utilization(0.6)+added > press.Utilization(1) {
+//	if interf.Utilization(0.6)+added > interf.Utilization(1) {
 //		// the target would be missed
 //	}
-package press
+package interf
 
 import (
 	"cmp"
--- a/press/model.go
+++ b/interf/model.go
@@ -1,4 +1,4 @@
-package press
+package interf
 
 // model estimates the interference with one long-running image: the joint distribution
 // over all best-effort images.
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -27,7 +27,7 @@
 	"slices"
 	"time"
 
-	"jayloft/press"
+	"jayloft/interf"
 )
 
 const (
@@ -79,7 +79,7 @@
 	if !ok {
 		p = priorInterference
 	}
-	return p * press.Weight(l.Utilization)
+	return p * interf.Weight(l.Utilization)
 }
 
 // addedUtilization returns the utilization that the task adds at a speed in percent.
@@ -132,7 +132,7 @@
 	c.prune(loads)
 	c.headroom = map[string]float64{}
 	for image, ratio := range c.tailRatios {
-		c.headroom[image] = press.Utilization(nearTargetRatio) - press.Utilization(ratio)
+		c.headroom[image] = interf.Utilization(nearTargetRatio) - interf.Utilization(ratio)
 	}
 	images := slices.Sorted(maps.Keys(c.headroom))
 	for _, image := range images {
