all: rename package noise to impact

Cause: the name noise is figurative; the package learns the impact of batch tasks on services. Change: directory, files, package clause, imports and their uses, and identifiers of core that carry the old name. The counters noise and evict keep their names and labels.

--- a/core/entry.go
+++ b/core/entry.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"jayloft/impact"
 	"jayloft/interf"
 	"jayloft/limit"
-	"jayloft/noise"
 	"jayloft/place"
 	"jayloft/table"
 )
@@ -59,7 +59,7 @@
 	// retryShare and hedgeShare are the shares the budgets were created with.
 	retryShare, hedgeShare float64
 	recent                 recentLog
-	noise                  noise.Model
+	impact                 impact.Model
 	interference           interf.Learner // interference of best-effort with long-running tasks
 	nextInterference       time.Time      // when it is next stored; zero until the stored row was requested
 
--- a/core/entryimpact.go
+++ b/core/entryimpact.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"jayloft/noise"
+	"jayloft/impact"
 	"jayloft/place"
 )
 
@@ -23,18 +23,18 @@
 	baselineSmoothing = 0.05
 	// evictRatio is the slowdown from which NoiseEvict evicts a task.
 	evictRatio = 1.1
-	// acceptableNoiseCost is the cost up to which the first worker found is taken.
-	acceptableNoiseCost = 0.15
-	// maxNoiseCandidates bounds the workers that are compared for a batch task.
-	maxNoiseCandidates = 4
+	// acceptableImpactCost is the cost up to which the first worker found is taken.
+	acceptableImpactCost = 0.15
+	// maxImpactCandidates bounds the workers that are compared for a batch task.
+	maxImpactCandidates = 4
 )
 
 // workerNoise is the state of the interference control of one worker.
 type workerNoise struct {
 	learntAt   time.Time // send time of the last heartbeat that the model learned from
-	action     noise.Action
+	action     impact.Action
 	class      string // of the batch tasks that the action applies to
-	loads      []noise.Load
+	loads      []impact.Load
 	loadsSince time.Time // send time of the first heartbeat with loads
 	evictedAt  time.Time // last eviction because of interference
 }
@@ -51,51 +51,51 @@
 	}
 	if w.heartbeat.Sent.Sub(w.noise.learntAt) >= recentMeanInterval {
 		w.noise.learntAt = w.heartbeat.Sent
-		e.learnNoise(w, loads)
+		e.learnImpact(w, loads)
 	}
-	worst, class := noise.NoAction, ""
+	worst, class := impact.NoAction, ""
 	for _, s := range w.heartbeat.Services {
 		if act, c := e.chooseAction(s, loads, w.noise.action); act > worst {
 			worst, class = act, c
 		}
 	}
 	if worst != w.noise.action {
-		e.count("noise", noiseReasons[worst])
+		e.count("noise", impactReasons[worst])
 	}
 	w.noise.action, w.noise.class = worst, class
 	e.throttleClaims(w, ans)
-	e.evictNoisyTask(w)
+	e.evictDisturbingTask(w)
 }
 
-// learnNoise updates the model from the VM's mean service times, if the mix of batch
+// learnImpact updates the model from the VM's mean service times, if the mix of batch
 // tasks was constant over the period that they cover.
-func (e *Entry) learnNoise(w *workerView, loads []noise.Load) {
+func (e *Entry) learnImpact(w *workerView, loads []impact.Load) {
 	if w.heartbeat.Sent.Sub(w.noise.loadsSince) < stableMixTime {
 		return
 	}
 	for _, s := range w.heartbeat.Services {
 		if ratio, ok := e.slowdown(s, len(loads) == 0); ok && len(loads) > 0 {
-			e.noise.ObserveMix(s.Service, loads, ratio, e.at.Now)
+			e.impact.ObserveMix(s.Service, loads, ratio, e.at.Now)
 		}
 	}
 }
 
 // chooseAction decides on the batch tasks beside a service and returns the class that
 // the action applies to. The baseline NoiseEvict evicts a task at every slowdown.
-func (e *Entry) chooseAction(s ServiceLoad, loads []noise.Load, last noise.Action) (noise.Action, string) {
+func (e *Entry) chooseAction(s ServiceLoad, loads []impact.Load, last impact.Action) (impact.Action, string) {
 	if e.pol.Noise != NoiseEvict {
-		return e.noise.NextAction(s.Service, loads, last)
+		return e.impact.NextAction(s.Service, loads, last)
 	}
 	ratio, ok := e.slowdown(s, false)
 	if !ok || len(loads) == 0 || ratio < evictRatio {
-		return noise.NoAction, ""
+		return impact.NoAction, ""
 	}
-	return noise.Move, loads[0].Class
+	return impact.Move, loads[0].Class
 }
 
-// noiseReasons holds the counter labels of the actions.
-var noiseReasons = map[noise.Action]Reason{
-	noise.NoAction: "leave", noise.Throttle: "throttle", noise.Move: "move",
+// impactReasons holds the counter labels of the actions.
+var impactReasons = map[impact.Action]Reason{
+	impact.NoAction: "leave", impact.Throttle: "throttle", impact.Move: "move",
 }
 
 // slowdown returns the ratio of a VM's mean service time to the service's baseline,
@@ -119,12 +119,12 @@
 }
 
 // loads returns the number of batch tasks on a worker by class.
-func (w *workerView) loads() []noise.Load {
-	loads := make([]noise.Load, len(w.heartbeat.ClassLoads))
+func (w *workerView) loads() []impact.Load {
+	loads := make([]impact.Load, len(w.heartbeat.ClassLoads))
 	for i, m := range w.heartbeat.ClassLoads {
-		loads[i] = noise.Load{
+		loads[i] = impact.Load{
 			Class: m.Class, Level: m.Running,
-			Throttled: w.noise.action != noise.NoAction && w.noise.class == m.Class,
+			Throttled: w.noise.action != impact.NoAction && w.noise.class == m.Class,
 		}
 	}
 	return loads
@@ -135,7 +135,7 @@
 func (e *Entry) throttleClaims(w *workerView, ans *HeartbeatAnswer) {
 	for _, c := range w.sortedClaims() {
 		percent := 100
-		if w.noise.action != noise.NoAction && c.class == w.noise.class && !c.urgent {
+		if w.noise.action != impact.NoAction && c.class == w.noise.class && !c.urgent {
 			percent = throttlePercent
 		}
 		if percent != 100 || c.throttled {
@@ -145,13 +145,13 @@
 	}
 }
 
-// evictNoisyTask evicts one task of the disturbing class if throttling is not enough.
-func (e *Entry) evictNoisyTask(w *workerView) {
+// evictDisturbingTask evicts one task of the disturbing class if throttling is not enough.
+func (e *Entry) evictDisturbingTask(w *workerView) {
 	minStay := evictInterval
 	if e.pol.Noise == NoiseEvict {
 		minStay = 0
 	}
-	if w.noise.action != noise.Move || e.at.Now.Sub(w.noise.evictedAt) < minStay {
+	if w.noise.action != impact.Move || e.at.Now.Sub(w.noise.evictedAt) < minStay {
 		return
 	}
 	for _, c := range w.sortedClaims() {
@@ -176,15 +176,15 @@
 	var sum float64
 	for _, s := range w.heartbeat.Services {
 		for _, m := range w.heartbeat.ClassLoads {
-			sum += e.noise.Cost(s.Service, m.Class, m.Running)
+			sum += e.impact.Cost(s.Service, m.Class, m.Running)
 		}
 	}
 	return sum
 }
 
-// addedNoiseCost returns the increase of a worker's noise penalty by one more task of
+// addedImpactCost returns the increase of a worker's noise penalty by one more task of
 // the class.
-func (e *Entry) addedNoiseCost(w *workerView, class string) float64 {
+func (e *Entry) addedImpactCost(w *workerView, class string) float64 {
 	n := 0
 	for _, m := range w.heartbeat.ClassLoads {
 		if m.Class == class {
@@ -193,24 +193,24 @@
 	}
 	var sum float64
 	for _, s := range w.heartbeat.Services {
-		sum += e.noise.Cost(s.Service, class, n+1) - e.noise.Cost(s.Service, class, n)
+		sum += e.impact.Cost(s.Service, class, n+1) - e.impact.Cost(s.Service, class, n)
 	}
 	return sum
 }
 
-// pickLeastDisturbed chooses, among at most maxNoiseCandidates workers with room, the
+// pickLeastDisturbed chooses, among at most maxImpactCandidates workers with room, the
 // first whose services the task would slow down acceptably little, else the one with
 // the least added cost.
 func (e *Entry) pickLeastDisturbed(need place.Need, class string, seed uint64) (string, bool) {
 	var best string
 	var least float64
-	for range maxNoiseCandidates {
+	for range maxImpactCandidates {
 		id, ok := e.index.Pick(need, seed)
 		if !ok {
 			break
 		}
-		cost := e.addedNoiseCost(e.workers[WorkerID(id)], class)
-		if cost <= acceptableNoiseCost {
+		cost := e.addedImpactCost(e.workers[WorkerID(id)], class)
+		if cost <= acceptableImpactCost {
 			return id, true
 		}
 		if best == "" || cost < least {
--- a/noise/act.go
+++ b/impact/act.go
@@ -1,4 +1,4 @@
-package noise
+package impact
 
 import "math"
 
--- a/noise/doc.go
+++ b/impact/doc.go
@@ -1,4 +1,4 @@
-// Package noise learns how much batch tasks slow down the services on the same
+// Package impact learns how much batch tasks slow down the services on the same
 // VM, and decides whether to throttle or move them.
 //
 // The slow-down depends on the pair of service and batch class and on the
@@ -20,8 +20,8 @@
 //
 // # Usage
 //
-//	var m noise.Model
-//	loads := []noise.Load{{Class: "import", Level: 2}, {Class: "render", Level: 1}}
+//	var m impact.Model
+//	loads := []impact.Load{{Class: "import", Level: 2}, {Class: "render", Level: 1}}
 //	m.ObserveMix("lookup", loads, 1.4, now)
 //	ratio, err := m.Estimate("lookup", "import", 2)
 //	penalty := m.Cost("lookup", "import", 3) // for placement
@@ -29,4 +29,4 @@
 //
 // The package has no clock: times are arguments. A Model is not safe for
 // concurrent use.
-package noise
+package impact
