--- a/core/event.go
+++ b/core/event.go
@@ -189,13 +189,13 @@
 type ImageTailLatency struct {
 	Image       string
 	Worst       float64 // the largest, as a fraction of its target
-	Utilization float64 // the mean over Tasks, estimated from the tail latencies; see package press
+	Utilization float64 // the mean over Tasks, estimated from the tail latencies; see package interf
 	Tasks       int     // number of tasks measured
 }
 
 // BestEffortLoad is the CPU, in millicores, that a VM's best-effort tasks of one
 // image may use at their present throttling, weighted by how much of it they do
-// use (see package press). It is smoothed over the windows that the tail latencies
+// use (see package interf). It is smoothed over the windows that the tail latencies
 // cover.
 type BestEffortLoad struct {
 	Image      string
@@ -203,7 +203,7 @@
 }
 
 // ImageInterference is the interference of best-effort tasks of one image with
-// long-running tasks of another, see package press.
+// long-running tasks of another, see package interf.
 type ImageInterference struct {
 	LongRunning, BestEffort string
 	Interference            float64
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -6,7 +6,7 @@
 // uses its CPU at the moment, and the only signal is a tail latency that is half a
 // second old. While a tail latency is near or over its target, the controller throttles
 // the best-effort tasks that interfere most for the CPU they are granted, as far as
-// their estimated interference (package press) requires, and leaves the others alone.
+// their estimated interference (package interf) requires, and leaves the others alone.
 // It raises speeds step by step as far as the targets allow, starting with the tasks
 // that interfere least.
 //
@@ -68,7 +68,7 @@
 	// in (0, 1]; zero if it was not measured.
 	Utilization float64
 	// Interference holds the utilization that a VM full of its image adds to
-	// long-running tasks, by their image; see package press.
+	// long-running tasks, by their image; see package interf.
 	Interference map[string]float64
 }
 
