core: split event.go along its subjects

Cause: 462 lines held the events of both reducers and the messages in them. Change: declarations moved unchanged to entryevent.go, agentevent.go, heartbeat.go, request.go, order.go and worker.go; event.go keeps what both reducers share.

--- /dev/null
+++ b/core/agentevent.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"jayloft/table"
+)
+
+// AgentEvent is an input of an agent's reducer.
+type AgentEvent interface{ agentEvent() }
+
+// Inspected is the answer to an Inspect: the state of the worker and its tasks.
+type Inspected struct {
+	Fault    Fault
+	Boot     string
+	Capacity Size
+	Slots    int
+	Services []string
+	Tasks    []WorkerTask
+	// Draining says that the worker will leave and accepts no new work.
+	Draining bool
+	// Rack and Labels are as the worker reports them. If Rack is empty, that of
+	// the settings applies.
+	Rack   Rack
+	Labels []string
+}
+
+// WorkerLeaving says that the worker has announced its departure.
+type WorkerLeaving struct{}
+
+// WorkerGone says that the worker has left and runs no tasks any more.
+type WorkerGone struct{}
+
+// EntriesRead is the answer to a ReadEntries: the entries' rows of the table.
+type EntriesRead struct {
+	View  table.View
+	Fault Fault
+}
+
+// HeartbeatAnswered is an entry's answer to a heartbeat. Sent is Heartbeat.Sent of
+// the answered one.
+type HeartbeatAnswered struct {
+	Entry  netip.AddrPort
+	Sent   time.Time
+	Answer HeartbeatAnswer
+	Fault  Fault
+}
+
+// StartAsked is an entry's order to start an attempt. It is answered with a
+// StartReply.
+type StartAsked struct {
+	Token Token
+	Order Order
+}
+
+// StopAsked is an entry's order to stop an attempt.
+type StopAsked struct {
+	Attempt Attempt
+	Inc     Incarnation
+	Kind    EndKind // EndEvicted or EndCancelled
+	Reason  string
+}
+
+// SettleAsked asks for the definite state of an attempt. It is answered with a
+// SettleReply.
+type SettleAsked struct {
+	Token   Token
+	Attempt Attempt
+	Inc     Incarnation
+}
+
+// ServeAsked is a request that an entry sends. It is answered with a ServeReply.
+type ServeAsked struct {
+	Token   Token
+	Call    string // unique name of this try, to detect a duplicate delivery
+	Inc     Incarnation
+	Run     Run
+	Request Request // its deadline is on the agent's clock
+}
+
+// RevokeAsked revokes a request. It is answered with a RevokeReply.
+type RevokeAsked struct {
+	Token Token
+	ID    RequestID
+	Run   Run
+}
+
+// Launched is the worker's answer to a Launch.
+type Launched struct {
+	Attempt Attempt
+	Started bool
+	Reason  string
+	// Retryable says that the task was not at fault for the refusal and may be
+	// tried again.
+	Retryable bool
+	Fault     Fault
+}
+
+// Controlled is the worker's answer to a Control.
+type Controlled struct {
+	Attempt Attempt
+	Verb    Verb
+	Done    bool
+	Fault   Fault
+}
+
+// Called is the endpoint's answer to a Call.
+type Called struct {
+	ID   RequestID
+	OK   bool
+	Body []byte
+	Text string
+	// Invalid says that the request itself was rejected as invalid.
+	Invalid bool
+	Fault   Fault
+}
+
+func (Tick) agentEvent()              {}
+func (Inspected) agentEvent()         {}
+func (WorkerLeaving) agentEvent()     {}
+func (WorkerGone) agentEvent()        {}
+func (EntriesRead) agentEvent()       {}
+func (HeartbeatAnswered) agentEvent() {}
+func (StartAsked) agentEvent()        {}
+func (StopAsked) agentEvent()         {}
+func (SettleAsked) agentEvent()       {}
+func (ServeAsked) agentEvent()        {}
+func (RevokeAsked) agentEvent()       {}
+func (Launched) agentEvent()          {}
+func (Controlled) agentEvent()        {}
+func (Called) agentEvent()            {}
+func (Leave) agentEvent()             {}
