--- a/core/agentdrain.go
+++ b/core/agentdrain.go
@@ -28,3 +28,39 @@
 		}
 	}
 }
+
+// drain refuses new work from now on, since the worker will leave, and evicts the
+// long-running tasks.
+func (a *Agent) drain() {
+	if a.draining {
+		return
+	}
+	a.draining = true
+	a.logNote("draining", string(a.inc), "the worker will leave")
+	for _, t := range a.heldByUnsavedWork() {
+		if t.order.LongRunning {
+			a.count("evict", ReasonLeaving)
+			a.stop(t, EndEvicted, "the worker will leave")
+		}
+	}
+	a.expediteHeartbeats()
+}
+
+// handleWorkerGone records the tasks of a worker that has left as lost.
+func (a *Agent) handleWorkerGone() {
+	a.drain()
+	a.logNote("worker gone", string(a.inc), "it has left")
+	for _, t := range a.heldByUnsavedWork() {
+		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "its worker has left"})
+	}
+}
+
+// dcOut reports whether the VM's data centre is out, and until when tasks may run
+// there.
+func (a *Agent) dcOut() (bool, time.Time) {
+	row, ok := a.config.dc(a.self.DC)
+	if !ok || !row.Out {
+		return false, time.Time{}
+	}
+	return true, row.Deadline
+}
--- /dev/null
+++ b/core/agentincarnation.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// join adopts the tasks that an earlier agent process started, with their
+// incarnation. If there are none, the agent joins as a new incarnation, but only
+// once no launch of an earlier process can still be in flight. It reports whether
+// the agent has joined.
+func (a *Agent) join(tasks []WorkerTask) bool {
+	for _, t := range tasks {
+		if t.State == WorkerEnded {
+			if a.inc == "" {
+				a.inc = t.Inc
+			}
+			continue
+		}
+		a.inc = t.Inc
+		a.held[t.Attempt.Task] = adoptedTask(t, a.at.Now.Add(a.pol.Lease))
+	}
+	if a.inc == "" && !a.pol.IncFromBoot && !a.launchesSettled() {
+		return false
+	}
+	a.ready, a.joinedAt = true, a.at.Now
+	if a.inc == "" {
+		a.newIncarnation()
+	}
+	a.logNote("joined", string(a.inc), fmt.Sprintf("%d tasks adopted", len(a.held)))
+	return true
+}
+
+// launchesSettled reports whether every launch by an earlier agent process on this
+// VM has either reached the worker or is past its permit.
+func (a *Agent) launchesSettled() bool {
+	return a.at.Now.After(a.startedAt.Add(a.pol.Permit + a.pol.Drift))
+}
+
+// newIncarnation starts a new incarnation. No task may be held.
+func (a *Agent) newIncarnation() {
+	if a.inc != "" {
+		a.dead[a.inc] = true
+	}
+	a.fenced = false
+	a.echo, a.joinedAt = time.Time{}, a.at.Now
+	if a.pol.IncFromBoot {
+		a.nextBootIncarnation()
+		return
+	}
+	a.inc = Incarnation(fmt.Sprintf("%s-%x-%x", a.self.Run, a.at.Now.UnixNano(), a.at.Seed))
+}
+
+// nextBootIncarnation starts the next incarnation of the worker's present boot. A
+// restarted agent starts again at number 0, so that it keeps the tasks that run;
+// if that incarnation was fenced, it advances as this process did.
+func (a *Agent) nextBootIncarnation() {
+	if a.incBoot == a.boot {
+		a.incN++
+	} else {
+		a.incBoot, a.incN = a.boot, 0
+	}
+	a.inc = Incarnation(fmt.Sprintf("%s.%d", a.boot, a.incN))
+}
+
+// isKnownDead reports whether an incarnation is known to be dead: it is of an
+// earlier boot, or this process has abandoned it.
+func (a *Agent) isKnownDead(inc Incarnation) bool {
+	if inc == "" || inc == a.inc || a.fenced {
+		return false
+	}
+	n, sameBoot := strings.CutPrefix(string(inc), a.boot+".")
+	if !a.pol.IncFromBoot || !sameBoot {
+		return true
+	}
+	k, err := strconv.Atoi(n)
+	return err == nil && k < a.incN
+}
+
+// handleReboot discards what the VM held before it was restarted while the agent
+// kept running.
+func (a *Agent) handleReboot() {
+	clear(a.held)
+	a.draining = false
+	a.serve.init()
+	a.newIncarnation()
+	a.logNote("worker restarted", string(a.inc), "")
+}
--- /dev/null
+++ b/core/agentinspect.go
@@ -0,0 +1,50 @@
+package core
+
+import "cmp"
+
+func (a *Agent) advanceInspection() {
+	if a.inspecting || a.at.Now.Before(a.nextInspect) {
+		return
+	}
+	a.inspect()
+}
+
+func (a *Agent) inspect() {
+	a.inspecting, a.inspectStartedAt = true, a.at.Now
+	a.nextInspect = a.at.Now.Add(a.pol.InspectInterval)
+	if a.stopPending() {
+		a.nextInspect = a.at.Now.Add(stopInspectInterval)
+	}
+	eff := Inspect{}
+	if a.pol.InspectWait > 0 {
+		eff.Until = a.at.Now.Add(a.pol.InspectWait)
+	}
+	a.emit(eff)
+}
+
+// handleInspected updates the agent from an inspection. The first one determines
+// its incarnation: that of the tasks still running at the worker, or a new one.
+func (a *Agent) handleInspected(ev Inspected) {
+	a.inspecting = false
+	if ev.Fault != FaultNone {
+		a.count("inspect", ReasonWorker)
+		a.inspectFaults++
+		a.handleWorkerLost()
+		return
+	}
+	a.inspectedAt, a.inspectFaults = a.at.Now, 0
+	reboot := a.ready && ev.Boot != a.boot
+	a.boot = ev.Boot
+	if reboot {
+		a.handleReboot()
+	}
+	a.capacity, a.slots, a.services = ev.Capacity, ev.Slots, ev.Services
+	a.rack, a.labels = cmp.Or(ev.Rack, a.self.Rack), ev.Labels
+	if ev.Draining {
+		a.drain()
+	}
+	if !a.ready && !a.join(ev.Tasks) {
+		return
+	}
+	a.reconcileTasks(ev.Tasks)
+}
