core: let both reducers schedule their ticks with one function

Cause: entry and agent each held the same rule for when a Wake effect is needed. Change: updateWake holds it; both scheduleWake call it. Ran: go build, go vet, linter, go test -short ./core ./io ./fake: passed.

--- a/core/agent.go
+++ b/core/agent.go
@@ -188,14 +188,22 @@
 	if a.leaving {
 		next = earliest(next, a.leaveDeadline)
 	}
-	if a.wakeAt.After(a.at.Now) && !next.Before(a.wakeAt) {
-		return
+	if updateWake(a.at.Now, next, &a.wakeAt) {
+		a.emit(Wake{At: a.wakeAt})
+	}
+}
+
+// updateWake updates the time of a reducer's last Wake effect and reports whether a new
+// one is needed for a tick at next: an earlier tick makes it needless.
+func updateWake(now, next time.Time, last *time.Time) bool {
+	if last.After(now) && !next.Before(*last) {
+		return false
 	}
-	if !next.After(a.at.Now) {
-		next = a.at.Now.Add(minWake)
+	if !next.After(now) {
+		next = now.Add(minWake)
 	}
-	a.wakeAt = next
-	a.emit(Wake{At: next})
+	*last = next
+	return true
 }
 
 // minWake is the minimum time between two wake-ups of a reducer.
--- a/core/entry.go
+++ b/core/entry.go
@@ -285,12 +285,7 @@
 	next := e.at.Now.Add(maxTickInterval)
 	next = earliest(next, e.timers.next())
 	next = earliest(next, e.flushAt())
-	if e.nextWake.After(e.at.Now) && !next.Before(e.nextWake) {
-		return
-	}
-	if !next.After(e.at.Now) {
-		next = e.at.Now.Add(minWake)
+	if updateWake(e.at.Now, next, &e.nextWake) {
+		e.emit(Wake{At: e.nextWake})
 	}
-	e.nextWake = next
-	e.emit(Wake{At: next})
 }
