io: post events and await their answers with one function

Cause: seven handlers each took a token, registered a waiter, posted the event and waited for the answer, the end of the context or a timeout. Change: request does that; with timeout 0 it waits for the context alone, as the handlers of heartbeats, liveness, requests and statements did.

--- a/io/agentrpc.go
+++ b/io/agentrpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,10 +11,6 @@
 	"jayloft/wire"
 )
 
-// errNoReply reports that an order was accepted but its outcome is not known
-// yet.
-var errNoReply = errors.New("agent did not reply to the order within 5 s; the order may still take effect")
-
 // agentRPC implements AgentService.
 type agentRPC struct{ s *AgentServer }
 
@@ -25,10 +20,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	t := h.s.tokens.next()
-	c := h.s.starts.add(t)
-	h.s.driver.post(core.StartAsked{Token: t, Order: o})
-	reply, err := await(ctx, &h.s.starts, t, c)
+	reply, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.starts, replyTimeout, func(t core.Token) core.AgentEvent {
+		return core.StartAsked{Token: t, Order: o}
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -51,10 +45,10 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	ev.Token = h.s.tokens.next()
-	c := h.s.settles.add(ev.Token)
-	h.s.driver.post(ev)
-	reply, err := await(ctx, &h.s.settles, ev.Token, c)
+	reply, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.settles, replyTimeout, func(t core.Token) core.AgentEvent {
+		ev.Token = t
+		return ev
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -68,16 +62,14 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	ev.Token = h.s.tokens.next()
-	c := h.s.serves.add(ev.Token)
-	h.s.driver.post(ev)
-	select {
-	case a := <-c:
-		return connect.NewResponse(codec.ServeAnswerToWire(a)), nil
-	case <-ctx.Done():
-		h.s.serves.remove(ev.Token)
-		return nil, ctx.Err()
+	a, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.serves, 0, func(t core.Token) core.AgentEvent {
+		ev.Token = t
+		return ev
+	})
+	if err != nil {
+		return nil, err
 	}
+	return connect.NewResponse(codec.ServeAnswerToWire(a)), nil
 }
 
 // Revoke cancels a request unless it has started, and returns its state.
@@ -86,29 +78,12 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	ev.Token = h.s.tokens.next()
-	c := h.s.revokes.add(ev.Token)
-	h.s.driver.post(ev)
-	reply, err := await(ctx, &h.s.revokes, ev.Token, c)
+	reply, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.revokes, replyTimeout, func(t core.Token) core.AgentEvent {
+		ev.Token = t
+		return ev
+	})
 	if err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(codec.RevokeReplyToWire(reply)), nil
 }
-
-// await waits up to replyTimeout for the reducer's reply to an order.
-func await[V any](ctx context.Context, w *waiters[core.Token, V], t core.Token, c <-chan V) (V, error) {
-	timer := time.NewTimer(replyTimeout)
-	defer timer.Stop()
-	var zero V
-	select {
-	case v := <-c:
-		return v, nil
-	case <-ctx.Done():
-		w.remove(t)
-		return zero, ctx.Err()
-	case <-timer.C:
-		w.remove(t)
-		return zero, connect.NewError(connect.CodeUnavailable, errNoReply)
-	}
-}
--- a/io/entryrpc.go
+++ b/io/entryrpc.go
@@ -35,31 +35,25 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	t := h.s.tokens.next()
-	c := h.s.heartbeats.add(t)
-	h.s.driver.post(core.HeartbeatReceived{Token: t, Heartbeat: b})
-	select {
-	case a := <-c:
-		return connect.NewResponse(codec.HeartbeatAnswerToWire(a)), nil
-	case <-ctx.Done():
-		h.s.heartbeats.remove(t)
-		return nil, ctx.Err()
+	a, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.heartbeats, 0, func(t core.Token) core.EntryEvent {
+		return core.HeartbeatReceived{Token: t, Heartbeat: b}
+	})
+	if err != nil {
+		return nil, err
 	}
+	return connect.NewResponse(codec.HeartbeatAnswerToWire(a)), nil
 }
 
 // Hear returns the workers that this entry receives heartbeats from, among those
 // that another entry asks about.
 func (h entryRPC) Hear(ctx context.Context, r *connect.Request[wire.HearRequest]) (*connect.Response[wire.HearResponse], error) {
-	t := h.s.tokens.next()
-	c := h.s.liveness.add(t)
-	h.s.driver.post(core.LivenessAsked{Token: t, Workers: codec.Strings[core.WorkerID](r.Msg.GetWorkers())})
-	select {
-	case alive := <-c:
-		return connect.NewResponse(&wire.HearResponse{Heard: codec.Strings[string](alive)}), nil
-	case <-ctx.Done():
-		h.s.liveness.remove(t)
-		return nil, ctx.Err()
+	alive, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.liveness, 0, func(t core.Token) core.EntryEvent {
+		return core.LivenessAsked{Token: t, Workers: codec.Strings[core.WorkerID](r.Msg.GetWorkers())}
+	})
+	if err != nil {
+		return nil, err
 	}
+	return connect.NewResponse(&wire.HearResponse{Heard: codec.Strings[string](alive)}), nil
 }
 
 // operatorRPC implements OperatorService.
@@ -88,17 +82,15 @@
 func (s *EntryServer) do(ctx context.Context, ev core.CommandAsked) core.CommandResult {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	ev.Token = s.tokens.next()
-	c := s.results.add(ev.Token)
-	s.driver.post(ev)
-	select {
-	case res := <-c:
-		return res
-	case <-ctx.Done():
-		s.results.remove(ev.Token)
+	res, err := request(ctx, s.driver, &s.tokens, &s.results, 0, func(t core.Token) core.EntryEvent {
+		ev.Token = t
+		return ev
+	})
+	if err != nil {
 		return core.CommandResult{
 			Outcome: core.CommandUnknown,
 			Text:    "the outcome is not known yet; retry with id " + ev.ID,
 		}
 	}
+	return res
 }
--- a/io/wait.go
+++ b/io/wait.go
@@ -1,8 +1,13 @@
 package io
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
 
 	"jayloft/core"
 )
@@ -52,3 +57,33 @@
 type tokens struct{ last atomic.Uint64 }
 
 func (t *tokens) next() core.Token { return core.Token(t.last.Add(1)) }
+
+// errNoReply reports that an order was accepted but its outcome is not known
+// yet.
+var errNoReply = errors.New("agent did not reply to the order within 5 s; the order may still take effect")
+
+// request posts the event that newEvent returns for a new token and waits for the
+// reducer's answer to that token. It returns the error of ctx if that ends first, and
+// errNoReply after the timeout; zero means no timeout.
+func request[E, F, V any](ctx context.Context, d *driver[E, F], ts *tokens, w *waiters[core.Token, V], timeout time.Duration, newEvent func(core.Token) E) (V, error) {
+	t := ts.next()
+	c := w.add(t)
+	d.post(newEvent(t))
+	var expired <-chan time.Time
+	if timeout > 0 {
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	var zero V
+	select {
+	case v := <-c:
+		return v, nil
+	case <-ctx.Done():
+		w.remove(t)
+		return zero, ctx.Err()
+	case <-expired:
+		w.remove(t)
+		return zero, connect.NewError(connect.CodeUnavailable, errNoReply)
+	}
+}
