--- a/pace/pace.go
+++ b/pace/pace.go
@@ -6,7 +6,7 @@
 // uses its CPU at the moment, and the only signal is a tail latency that is half a
 // second old. While a tail latency is near or over its target, the controller throttles
 // the best-effort tasks that interfere most for the CPU they are granted, as far as
-// their estimated interference (package press) requires, and leaves the others alone.
+// their estimated interference (package interf) requires, and leaves the others alone.
 // It raises speeds step by step as far as the targets allow, starting with the tasks
 // that interfere least.
 //
@@ -27,7 +27,7 @@
 	"slices"
 	"time"
 
-	"jayloft/press"
+	"jayloft/interf"
 )
 
 const (
@@ -68,7 +68,7 @@
 	// in (0, 1]; zero if it was not measured.
 	Utilization float64
 	// Interference holds the utilization that a VM full of its image adds to
-	// long-running tasks, by their image; see package press.
+	// long-running tasks, by their image; see package interf.
 	Interference map[string]float64
 }
 
@@ -79,7 +79,7 @@
 	if !ok {
 		p = priorInterference
 	}
-	return p * press.Weight(l.Utilization)
+	return p * interf.Weight(l.Utilization)
 }
 
 // addedUtilization returns the utilization that the task adds at a speed in percent.
@@ -132,7 +132,7 @@
 	c.prune(loads)
 	c.headroom = map[string]float64{}
 	for image, ratio := range c.tailRatios {
-		c.headroom[image] = press.Utilization(nearTargetRatio) - press.Utilization(ratio)
+		c.headroom[image] = interf.Utilization(nearTargetRatio) - interf.Utilization(ratio)
 	}
 	images := slices.Sorted(maps.Keys(c.headroom))
 	for _, image := range images {
