core: count jobs as waiting until a task has started

TestPendingCountOfClaimsThatNeverStart failed before: 0 for a claim without an answer. Change: a job waits until a task of it is known to have started: by its agent's answer, a heartbeat that lists it, or the row. The row notes it with the next change, and who takes a shard over looks at the latest heartbeats, so a handover does not bring jobs back. The log field 'claimed' has served and is gone.

--- a/core/count_test.go
+++ b/core/count_test.go
@@ -155,3 +155,24 @@
 		mustFind[core.ReadRows](h)
 	}
 }
+
+// A claim is not a start: as long as no agent has started a task of a job, the job waits,
+// however often its tasks were claimed.
+func TestPendingCountOfClaimsThatNeverStart(t *testing.T) {
+	h := newEntryHarness(t)
+	h.pass(time.Second, true)
+	h.submit()
+	h.commitAll(testJob)
+	assert.Equal(t, h.askCount().Pending, 1)
+	h.sendHeartbeat(8)
+	start := core.Start{}
+	for start.Token == 0 {
+		commit := mustFind[core.Commit](h)
+		h.rev++
+		h.post(core.CommitAnswered{Token: commit.Token, Result: table.Result{Committed: true, Revision: h.rev}})
+		start, _ = find[core.Start](h)
+	}
+	assert.Equal(t, h.askCount().Pending, 1, "the order is not answered yet")
+	h.post(core.StartAnswered{Token: start.Token, Started: true})
+	assert.Equal(t, h.askCount().Pending, 0)
+}
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -55,7 +55,6 @@
 	waiting int
 	asOf    time.Time // of the oldest part; zero if a part is missing
 	missing int       // shards that nobody has counted recently enough
-	claimed int       // own jobs with claims, none of which is known to have started
 }
 
 // answerCount answers a request for the number of a queue's waiting jobs.
@@ -66,7 +65,7 @@
 		ans = JobAnswer{Outcome: JobRefused, Reason: ReasonStale, RetryAfter: e.countRetryAfter()}
 	}
 	e.logEvent("queue counted", queue, "waiting", n.waiting, "missing", n.missing,
-		"age", e.at.Now.Sub(n.asOf).String(), "claimed", n.claimed, "outcome", string(ans.Outcome))
+		"age", e.at.Now.Sub(n.asOf).String(), "outcome", string(ans.Outcome))
 	return ans
 }
 
@@ -79,7 +78,7 @@
 // countQueue counts a queue's waiting jobs from the most recent count of each shard.
 func (e *Entry) countQueue(queue string) queueCount {
 	own := e.waitingByShard()
-	n := queueCount{claimed: e.unstartedJobs(queue), asOf: e.at.Now}
+	n := queueCount{asOf: e.at.Now}
 	for s := range e.shards {
 		c := e.countShard(s, queue, own[s])
 		n.waiting += c.waiting
@@ -130,12 +129,11 @@
 	return rs
 }
 
-// waitingByShard counts the jobs in memory of which no task has been claimed, by shard
-// and queue.
+// waitingByShard counts the waiting jobs in memory, by shard and queue.
 func (e *Entry) waitingByShard() [Shards]map[string]int {
 	var n [Shards]map[string]int
 	for _, j := range e.jobs {
-		if j.foreign || !j.row.stored || j.row.Spec.Queue == "" || j.row.State() != JobQueued {
+		if j.foreign || j.row.Spec.Queue == "" || !j.isWaiting() {
 			continue
 		}
 		if n[j.shard] == nil {
@@ -146,28 +144,34 @@
 	return n
 }
 
-// unstartedJobs counts the jobs of a queue in this entry's shards that have claims, but
-// none that is known to have started.
-func (e *Entry) unstartedJobs(queue string) int {
-	n := 0
-	for _, j := range e.jobs {
-		if !j.foreign && j.row.stored && j.row.Spec.Queue == queue && j.row.State() == JobRunning && !j.hasStarted() {
-			n++
-		}
+// isWaiting reports whether the table holds the job and none of its tasks is known to have
+// started. A claim alone is no start: its agent may refuse it or never get it.
+func (j *jobView) isWaiting() bool {
+	if !j.row.stored {
+		return false
 	}
-	return n
+	switch j.row.State() {
+	case JobQueued:
+		return true
+	case JobRunning:
+		return !j.hasStarted()
+	}
+	return false
 }
 
 // hasStarted reports whether a task of the job is known to have started.
 func (j *jobView) hasStarted() bool {
-	for n := range j.row.Tasks {
-		t := &j.row.Tasks[n]
-		if t.State.Final() || t.Failures > 0 || t.Saved != "" {
-			return true
-		}
-		if c := j.claims[n]; c != nil && (c.reported || !c.startedAt.IsZero()) {
+	for _, c := range j.claims {
+		if c.reported || !c.startedAt.IsZero() {
 			return true
 		}
 	}
-	return false
+	return j.row.hasStarted()
+}
+
+// hasStarted reports whether the row shows that a task has started.
+func (r *JobRow) hasStarted() bool {
+	return r.Started || slices.ContainsFunc(r.Tasks, func(t TaskRow) bool {
+		return t.State == TaskDone || t.Failures > 0 || t.Evictions > 0 || t.Saved != ""
+	})
 }
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -188,6 +188,7 @@
 		return
 	}
 	row.Ended = e.endedAt(row)
+	row.Started = row.hasStarted() || j.hasStarted()
 	b, err := Encode(row)
 	if err != nil {
 		e.logNote("job not written", string(j.row.Spec.ID), err.Error())
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"jayloft/table"
@@ -168,6 +169,7 @@
 		}
 		c = j.newClaim(n, t.Attempt, t.Holder, e.at.Now)
 		e.addClaim(j, c)
+		e.worker(t.Holder.Worker).markReported(c)
 	}
 	c.committed = true
 	if e.worker(t.Holder.Worker).dead[t.Holder.Inc] {
@@ -175,6 +177,13 @@
 	}
 }
 
+// markReported marks a claim as reported if the latest heartbeat of its holder lists it.
+func (w *workerView) markReported(c *claim) {
+	if w.inc == c.holder.Inc && slices.Contains(w.heartbeat.Running, c.attempt) {
+		c.reported, c.reportedAt = true, w.heartbeatAt
+	}
+}
+
 // addClaim tracks a claim and reserves its resources.
 func (e *Entry) addClaim(j *jobView, c *claim) {
 	w := e.worker(c.holder.Worker)
--- a/core/rows.go
+++ b/core/rows.go
@@ -125,7 +125,7 @@
 	Shard int `cbor:"1,keyasint"`
 	// ReadUpTo is the revision of the table up to which the entry has read the shard.
 	ReadUpTo uint64 `cbor:"2,keyasint"`
-	// Waiting counts the accepted jobs none of whose tasks has been claimed, by queue.
+	// Waiting counts the accepted jobs none of whose tasks has started, by queue.
 	Waiting map[string]int `cbor:"3,keyasint,omitempty"`
 }
 
@@ -242,6 +242,9 @@
 	// it; zero before.
 	Ended time.Time `cbor:"6,keyasint,omitzero"`
 	Op    string    `cbor:"7,keyasint,omitempty"` // id of the command that submitted it
+	// Started is set once a task of the job was known to have started when the row was
+	// written.
+	Started bool `cbor:"8,keyasint,omitempty"`
 
 	// stored says that the table holds the job, or will hold it once the
 	// transaction commits that this copy is made for.
