fake: submit jobs to a queue and check what entries say of them

A World's table now holds a queue. Callers submit jobs to it and cancel them (Enqueue, Dequeue), with relays between entries, and ask every entry at a steady rate for the number of waiting jobs, the state of a job, show jobs, show tasks and why job (Read). The oracle compares each answer, as the entry decides it, with the table's rows and the workers' starts of the last 5 s (points count and state). Refusals are allowed until 15 s after the last fault. FailReads leaves the reads of one entry without an answer while its writes go on.

--- a/fake/action.go
+++ b/fake/action.go
@@ -31,6 +31,40 @@
 	Last  int
 }
 
+// Enqueue submits jobs to the queue, as callers do.
+type Enqueue struct {
+	Entry int
+	Jobs  int
+	Tasks int       // of each job
+	Size  core.Size // zero: 1,000 millicores and 1,000 MB
+	Over  time.Duration
+}
+
+// Dequeue cancels the last jobs that were submitted to the queue.
+type Dequeue struct {
+	Entry int
+	Last  int
+}
+
+// Read asks every entry at a steady rate for the number of waiting jobs, the
+// states of jobs, and what operators can see of them.
+type Read struct {
+	Of    ReadKind // zero: all
+	Every time.Duration
+	For   time.Duration
+}
+
+// ReadKind is a kind of read.
+type ReadKind int
+
+// The kinds of reads.
+const (
+	ReadAll    ReadKind = iota
+	ReadCounts          // the number of waiting jobs
+	ReadStates          // the state of a job
+	ReadLists           // what operators can see
+)
+
 // Ask sends requests of callers.
 type Ask struct {
 	Entry      int
@@ -153,6 +187,13 @@
 	For   time.Duration
 }
 
+// FailReads makes the table leave the reads of an entry without an answer, or
+// of all if Entry is negative. Writes go on.
+type FailReads struct {
+	Entry int
+	For   time.Duration
+}
+
 // CutEntries cuts two entries from each other.
 type CutEntries struct {
 	A, B int
@@ -194,6 +235,9 @@
 
 func (Submit) action()     {}
 func (Cancel) action()     {}
+func (Enqueue) action()    {}
+func (Dequeue) action()    {}
+func (Read) action()       {}
 func (Ask) action()        {}
 func (Drain) action()      {}
 func (Return) action()     {}
@@ -212,6 +256,7 @@
 func (CutVM) action()      {}
 func (CutDC) action()      {}
 func (CutStore) action()   {}
+func (FailReads) action()  {}
 func (CutEntries) action() {}
 func (Net) action()        {}
 func (Store) action()      {}
--- a/fake/do.go
+++ b/fake/do.go
@@ -19,11 +19,17 @@
 	switch a := a.(type) {
 	case Wait:
 		w.Run(a.For)
+	case Enqueue:
+		w.client.enqueue(a)
+	case Dequeue:
+		w.client.dequeue(a)
+	case Read:
+		w.client.read(a)
 	case Submit, Cancel, Ask, Drain, Return, Race, SetPolicy, SetQuota:
 		w.doClient(a)
 	case CutVM, CutDC, CutStore, CutEntries:
 		w.doCut(a)
-	case Net, Store, Objects:
+	case Net, Store, Objects, FailReads:
 		w.doIll(a)
 	default:
 		w.doProc(a)
@@ -219,6 +225,8 @@
 		w.worsen(a)
 	case Store:
 		w.ill(a)
+	case FailReads:
+		w.failReads(a)
 	case Objects:
 		w.objects.down++
 		w.oracle.trouble(w.now.Add(a.For))
@@ -257,6 +265,16 @@
 	})
 }
 
+func (w *World) failReads(a FailReads) {
+	w.oracle.trouble(w.now.Add(a.For))
+	for n, e := range w.entries {
+		if a.Entry < 0 || a.Entry%len(w.entries) == n {
+			w.store.unread[e.proc]++
+			w.after(a.For, func() { w.store.unread[e.proc]-- })
+		}
+	}
+}
+
 func (w *World) ill(a Store) {
 	w.oracle.trouble(w.now.Add(a.For))
 	s := w.store
--- a/fake/entry.go
+++ b/fake/entry.go
@@ -20,6 +20,13 @@
 	beats    map[core.Token]func(core.HeartbeatAnswer)
 	hears    map[core.Token]func([]core.WorkerID)
 	commands map[core.Token]func(core.CommandResult)
+
+	jobRequests map[core.Token]func(core.JobAnswer)
+	queries     map[core.Token]func(core.CommandResult) // statements that read
+	// judges are told of the entry's decisions on reads, when it makes them.
+	judges map[core.Token]judge
+	// passing is set while the entry handles another entry's answer.
+	passing *core.JobAnswer
 }
 
 func newEntry(w *World, n int) *entry {
@@ -33,6 +40,9 @@
 	e.beats = make(map[core.Token]func(core.HeartbeatAnswer))
 	e.hears = make(map[core.Token]func([]core.WorkerID))
 	e.commands = make(map[core.Token]func(core.CommandResult))
+	e.jobRequests = make(map[core.Token]func(core.JobAnswer))
+	e.queries = make(map[core.Token]func(core.CommandResult))
+	e.judges = make(map[core.Token]judge)
 	e.reducer = core.NewEntry(core.EntryIdentity{ID: e.id(), Addr: entryAddr(e.n)}, e.w.cfg.core...)
 	e.reduce(core.Tick{})
 }
@@ -68,7 +78,9 @@
 	if e.w.trace != nil {
 		e.w.log(e.proc.name, fmt.Sprintf("<- %T%+v", ev, ev))
 	}
-	for _, eff := range e.reducer.Reduce(e.w.stamp(e.proc), ev) {
+	effects := e.reducer.Reduce(e.w.stamp(e.proc), ev)
+	e.judge(effects)
+	for _, eff := range effects {
 		if !e.proc.up || e.proc.life != life {
 			return
 		}
@@ -101,6 +113,9 @@
 		answerTo(e.hears, x.Token, x.Alive)
 	case core.CommandReply:
 		answerTo(e.commands, x.Token, x.Result)
+		answerTo(e.queries, x.Token, x.Result)
+	case core.JobReply:
+		answerTo(e.jobRequests, x.Token, x.Answer)
 	case core.Commit, core.ReadChanges, core.ReadRows:
 		e.table(x)
 	default:
@@ -203,6 +218,8 @@
 		})
 	case core.QueryLiveness:
 		e.hear(x)
+	case core.Relay:
+		e.relay(x)
 	}
 }
 
--- a/fake/oracle.go
+++ b/fake/oracle.go
@@ -40,6 +40,8 @@
 	PointClaim   Point = "claim"   // claims rest on the table's state when they commit
 	PointLive    Point = "live"    // with failures over, all ends
 	PointOrder   Point = "order"   // a step starts after those that it waits for
+	PointCount   Point = "count"   // counts of waiting jobs are complete and recent
+	PointState   Point = "state"   // states of jobs are recent
 )
 
 // Violation is something that the oracle saw and that must never be.
@@ -70,6 +72,10 @@
 	requests map[core.RequestID]*served
 	commands map[string]*operation
 	shared   core.Size // reserved by services on each VM
+
+	queueJobs map[core.JobID]*queueJob
+	queueIDs  []core.JobID // in order of submission
+	reads     map[ReadOutcome]int
 }
 
 // version is a configuration, the table's revision that made it, and when.
@@ -91,6 +97,9 @@
 		fences:   make(map[core.WorkerID]core.FenceRow),
 		requests: make(map[core.RequestID]*served),
 		commands: make(map[string]*operation),
+
+		queueJobs: make(map[core.JobID]*queueJob),
+		reads:     make(map[ReadOutcome]int),
 	}
 	for _, s := range w.cfg.services {
 		o.shared = o.shared.Plus(s.Size)
--- a/fake/store.go
+++ b/fake/store.go
@@ -20,12 +20,13 @@
 	slow     time.Duration // added at most
 	lose     float64       // chance that an answer is lost after the change
 	late     float64       // chance that a commit takes effect after its answer is given up
+	unread   map[*proc]int // processes whose reads get no answer
 	writes   rate
 	reads    rate
 }
 
 func newStore(w *World) *store {
-	s := &store{w: w, rows: make(map[string]table.Row), proc: w.newProc("table", "table")}
+	s := &store{w: w, rows: make(map[string]table.Row), unread: make(map[*proc]int), proc: w.newProc("table", "table")}
 	w.boot(s.proc)
 	return s
 }
@@ -49,6 +50,7 @@
 	for _, r := range s.w.cfg.teams {
 		add(core.PrefixConfig+"team/"+string(r.Name), r)
 	}
+	add(core.KeyQueues, queueRow())
 	add(core.KeyVersion, core.VersionRow{N: 1})
 	s.apply(table.Txn{Writes: writes})
 }
@@ -162,6 +164,13 @@
 
 func (s *store) view(from *proc, read func() table.View, done func(table.View, core.Fault)) {
 	s.reads.add(s.w.now)
+	if s.unread[from] > 0 {
+		life := from.life
+		s.w.after(tableLimit, func() {
+			s.w.deliver(from, life, func() { done(table.View{}, core.FaultNoAnswer) })
+		})
+		return
+	}
 	s.ask(from, func() answer { return answer{view: read()} },
 		func(a answer, f core.Fault) { done(a.view, f) })
 }
--- a/fake/truth.go
+++ b/fake/truth.go
@@ -38,6 +38,9 @@
 func (o *Oracle) launched(k *worker, t *task, from checkpoint) {
 	a := t.order.Attempt
 	h := o.task(a.Task)
+	if j := o.queueJobs[a.Task.Job]; j != nil && j.startedAt.IsZero() {
+		j.startedAt = o.w.now
+	}
 	if _, ok := o.attempts[a]; ok {
 		o.fail(PointTwice, "%s is launched twice, now on %s", a, k.boot)
 	}
@@ -125,6 +128,7 @@
 	for i, x := range txn.Writes {
 		if x.Delete {
 			config = config || strings.HasPrefix(x.Key, core.PrefixConfig)
+			o.queueJobDeleted(x.Key)
 			continue
 		}
 		r, err := core.Decode(x.Key, x.Value)
@@ -174,6 +178,9 @@
 
 // jobWritten compares a job's new row with its old one.
 func (o *Oracle) jobWritten(r core.JobRow) {
+	if j := o.queueJobs[r.Spec.ID]; j != nil {
+		j.rows = append(j.rows, storedRow{at: o.w.now, row: r})
+	}
 	old, ok := o.rows[r.Spec.ID]
 	o.rows[r.Spec.ID] = r
 	if !ok {
