--- a/core/entry.go
+++ b/core/entry.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"jayloft/impact"
+	"jayloft/interf"
 	"jayloft/limit"
-	"jayloft/noise"
 	"jayloft/place"
-	"jayloft/press"
 	"jayloft/table"
 )
 
@@ -59,9 +59,9 @@
 	// retryShare and hedgeShare are the shares the budgets were created with.
 	retryShare, hedgeShare float64
 	recent                 recentLog
-	noise                  noise.Model
-	interference           press.Learner // interference of best-effort with long-running tasks
-	nextInterference       time.Time     // when it is next stored; zero until the stored row was requested
+	impact                 impact.Model
+	interference           interf.Learner // interference of best-effort with long-running tasks
+	nextInterference       time.Time      // when it is next stored; zero until the stored row was requested
 
 	commands    map[string]*command       // commands that change something, by id
 	jobRequests map[Token]*openJobRequest // by the token of the event
@@ -232,7 +232,13 @@
 // Ready reports whether the entry may serve: it has read the configuration, is not
 // leaving, and the agents have had time to send their first heartbeats.
 func (e *Entry) Ready() bool {
-	return e.hasConfig() && !e.leaving && e.at.Now.Sub(e.startedAt) > announceHeartbeats*e.pol.HeartbeatInterval
+	return e.hasConfig() && !e.leaving && e.hasHeardAgents()
+}
+
+// hasHeardAgents reports whether the agents have had time to send their first heartbeats
+// to this process.
+func (e *Entry) hasHeardAgents() bool {
+	return e.at.Now.Sub(e.startedAt) > announceHeartbeats*e.pol.HeartbeatInterval
 }
 
 // announceHeartbeats is the number of heartbeat intervals within which agents
@@ -285,12 +291,7 @@
 	next := e.at.Now.Add(maxTickInterval)
 	next = earliest(next, e.timers.next())
 	next = earliest(next, e.flushAt())
-	if e.nextWake.After(e.at.Now) && !next.Before(e.nextWake) {
-		return
-	}
-	if !next.After(e.at.Now) {
-		next = e.at.Now.Add(minWake)
+	if updateWake(e.at.Now, next, &e.nextWake) {
+		e.emit(Wake{At: e.nextWake})
 	}
-	e.nextWake = next
-	e.emit(Wake{At: next})
 }
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -31,7 +31,9 @@
 	reading bool      // a read is in flight
 	began   time.Time // when the newest read began
 	asOf    time.Time // when the last read that succeeded began
-	next    time.Time // when a loaded shard is read again
+
+	published ShardReport // the most recent one of another entry
+	next      time.Time   // when a loaded shard is read again
 }
 
 // pendingMember awaits a write whose result needs no action: of this entry's own
@@ -46,13 +48,16 @@
 	if e.at.Now.Before(e.nextAnnounce) || !e.hasConfig() || e.leaving || e.breaker.IsOpen(e.at.Now) {
 		return
 	}
-	e.nextAnnounce = e.at.Now.Add(e.pol.EntryTimeout / 3)
+	e.nextAnnounce = e.at.Now.Add(e.publishInterval())
 	e.heartbeats++
-	row := EntryRow{ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Pending: e.queuedByQueue()}
+	row := EntryRow{ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports()}
 	e.commit(pendingMember{}, nil, []Record{row}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
 }
 
+// publishInterval returns the time between two writes of this entry's row.
+func (e *Entry) publishInterval() time.Duration { return e.pol.EntryTimeout / 3 }
+
 // removeDeadPeers deletes the row of one entry that has been dead for ten times
 // EntryTimeout.
 func (e *Entry) removeDeadPeers() {
@@ -114,6 +119,9 @@
 		return
 	}
 	p.row, p.version, p.changed = row, r.Version, e.at.Now
+	if row.ID != e.self.ID {
+		e.applyReports(row.Reports)
+	}
 	addr, err := netip.ParseAddrPort(row.Addr)
 	if err != nil {
 		e.logNote("entry row without an address", r.Key, err.Error())
