core: let one function yield the workers that placement compares

Cause: four functions held the same loop: pick a worker, exclude it, pick the next. Change: candidates yields the workers; the functions keep their own comparison. It clips the exclusions first, as one of the four did, so that no append writes into the caller's array; the index only looks whether an id is contained.

--- a/core/entrycolocate.go
+++ b/core/entrycolocate.go
@@ -90,13 +90,7 @@
 	var best string
 	var least int
 	need.Constraint, need.Spread = place.ServingOnly, false
-	tried := need
-	for range maxCandidates {
-		id, ok := e.index.Pick(tried, seed)
-		if !ok {
-			break
-		}
-		tried.Exclude = append(tried.Exclude, id)
+	for id := range candidates(e.index.Pick, need, seed, maxCandidates) {
 		others := e.workers[WorkerID(id)].otherImages(image)
 		if others == 0 {
 			return id, true
@@ -123,12 +117,7 @@
 func (e *Entry) pickLeastInterference(need place.Need, image string, seed uint64) (best string, ok bool) {
 	need.Constraint, need.Spread = place.NonServingOnly, true
 	var least float64
-	for range maxCandidates {
-		id, ok := e.index.Pick(need, seed)
-		if !ok {
-			break
-		}
-		need.Exclude = append(need.Exclude, id)
+	for id := range candidates(e.index.Pick, need, seed, maxCandidates) {
 		if p := e.interferenceOn(e.workers[WorkerID(id)], image, anyClaim); best == "" || p < least {
 			best, least = id, p
 		}
@@ -157,12 +146,7 @@
 	need.Constraint = place.ServingOnly
 	var best string
 	var least float64
-	for range maxCandidates {
-		id, ok := e.index.PickSlack(need, seed)
-		if !ok {
-			break
-		}
-		need.Exclude = append(need.Exclude, id)
+	for id := range candidates(e.index.PickSlack, need, seed, maxCandidates) {
 		added, tolerated := e.addedInterference(e.workers[WorkerID(id)], image, need.Size)
 		if (tolerated || stuck) && (best == "" || added < least) {
 			best, least = id, added
--- a/core/entryimpact.go
+++ b/core/entryimpact.go
@@ -204,11 +204,7 @@
 func (e *Entry) pickLeastDisturbed(need place.Need, class string, seed uint64) (string, bool) {
 	var best string
 	var least float64
-	for range maxImpactCandidates {
-		id, ok := e.index.Pick(need, seed)
-		if !ok {
-			break
-		}
+	for id := range candidates(e.index.Pick, need, seed, maxImpactCandidates) {
 		cost := e.addedImpactCost(e.workers[WorkerID(id)], class)
 		if cost <= acceptableImpactCost {
 			return id, true
@@ -216,7 +212,6 @@
 		if best == "" || cost < least {
 			best, least = id, cost
 		}
-		need.Exclude = append(need.Exclude[:len(need.Exclude):len(need.Exclude)], id)
 	}
 	return best, best != ""
 }
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"iter"
 	"slices"
 	"sort"
 	"time"
@@ -219,6 +220,20 @@
 	return e.index.PickPreempt(need, seed)
 }
 
+// candidates yields up to n workers that pick chooses for a need, each of them once.
+func candidates(pick func(place.Need, uint64) (string, bool), need place.Need, seed uint64, n int) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		need.Exclude = slices.Clip(need.Exclude)
+		for range n {
+			id, ok := pick(need, seed)
+			if !ok || !yield(id) {
+				return
+			}
+			need.Exclude = append(need.Exclude, id)
+		}
+	}
+}
+
 // unfit returns the workers on which a task of a job with steps must not run: those
 // that don't run the job's service, lack the step's label, or already hold the
 // maximum number of the step's tasks per worker.
