config: read durations and memory with one function

Cause: duration and memory were the same setter but for parser, format and example. Change: amount holds the logic; both call it. cores stays: it takes numbers and names its unit in the message. Ran: go build, go vet, linter, go test -short ./config ./examples: passed.

--- a/config/read.go
+++ b/config/read.go
@@ -148,21 +148,7 @@
 
 // duration returns a setter that stores a duration from low to high.
 func duration(dst *time.Duration, low, high time.Duration) setter {
-	return func(r *reader, n *node) {
-		if !r.checkKind(n, unstable.String, `"15s"`) {
-			return
-		}
-		d, err := unit.Duration(n.text)
-		if err != nil {
-			r.report(n.offset, err.Error())
-			return
-		}
-		if d < low || d > high {
-			r.reportf(n.offset, "%s is not between %s and %s", n.text, unit.FormatDuration(low), unit.FormatDuration(high))
-			return
-		}
-		*dst = d
-	}
+	return amount(dst, low, high, `"15s"`, unit.Duration, unit.FormatDuration)
 }
 
 // integer returns a setter that stores an integer from low to high.
@@ -202,17 +188,23 @@
 
 // memory returns a setter that stores an amount of memory, with bounds, in MB.
 func memory(dst *int64, low, high int64) setter {
+	return amount(dst, low, high, `"60GB"`, unit.Memory, unit.FormatMemory)
+}
+
+// amount returns a setter that stores an amount with a unit, written as a string like
+// the example, from low to high.
+func amount[T ~int64](dst *T, low, high T, example string, parse func(string) (T, error), format func(T) string) setter {
 	return func(r *reader, n *node) {
-		if !r.checkKind(n, unstable.String, `"60GB"`) {
+		if !r.checkKind(n, unstable.String, example) {
 			return
 		}
-		v, err := unit.Memory(n.text)
+		v, err := parse(n.text)
 		if err != nil {
 			r.report(n.offset, err.Error())
 			return
 		}
 		if v < low || v > high {
-			r.reportf(n.offset, "%s is not between %s and %s", n.text, unit.FormatMemory(low), unit.FormatMemory(high))
+			r.reportf(n.offset, "%s is not between %s and %s", n.text, format(low), format(high))
 			return
 		}
 		*dst = v
