io: take the deadline of a graceful shutdown from one function

Cause: EntryServer.Leave and AgentServer.Leave held the same rule. Change: leaveEvent holds it; both pass its event to the driver. Ran: go build, go vet, linter, go test -short ./io ./cmd/..., and go test -short ./procs -run 'TestStopAgent|TestRestartAgent': passed.

--- a/io/agent.go
+++ b/io/agent.go
@@ -68,11 +68,7 @@
 // It returns the error of ctx if that ends first.
 func (s *AgentServer) Leave(ctx context.Context) error {
 	s.meter.leaving.Store(true)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(commandTimeout)
-	}
-	return s.driver.leave(ctx, core.Leave{Deadline: deadline})
+	return s.driver.leave(ctx, leaveEvent(ctx))
 }
 
 // Close stops the agent immediately. Call it after Leave and after the server of
--- a/io/driver.go
+++ b/io/driver.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// leaveEvent returns the event of a graceful shutdown by the deadline of ctx, or by
+// commandTimeout from now if it has none.
+func leaveEvent(ctx context.Context) core.Leave {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(commandTimeout)
+	}
+	return core.Leave{Deadline: deadline}
+}
+
 // close stops the timer; events that are posted later are discarded.
 func (d *driver[E, F]) close() {
 	d.mu.Lock()
--- a/io/entry.go
+++ b/io/entry.go
@@ -64,11 +64,7 @@
 // answered. It returns the error of ctx if that ends first.
 func (s *EntryServer) Leave(ctx context.Context) error {
 	s.meter.leaving.Store(true)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(commandTimeout)
-	}
-	return s.driver.leave(ctx, core.Leave{Deadline: deadline})
+	return s.driver.leave(ctx, leaveEvent(ctx))
 }
 
 // Close stops the entry immediately. Call it after Leave and after the servers
