core: take a task as started once its worker has confirmed it

An agent lists an admitted task as running before its worker has answered the launch; with a worker that takes seconds for a call, the job left the count of waiting jobs before any of its tasks had started. Change: heartbeats name the attempts whose launch is not confirmed, and only the others count as started. An agent of the build before names none, which counts as started, as before. TestPendingCountOfClaimsThatNeverStart asks one moment more: after the admission, before the worker's confirmation.

--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -81,6 +81,9 @@
 	b.Window, b.TailLatencies, b.BestEffort, b.Slowed = a.windows, a.tailLatencies, a.bestEffortLoads(), a.slowedTasks()
 	for _, t := range a.heldByUnsavedWork() {
 		b.Running = append(b.Running, t.order.Attempt)
+		if !t.started {
+			b.Launching = append(b.Launching, t.order.Attempt)
+		}
 		if t.order.Target > 0 {
 			b.TargetedTasks++
 		}
--- a/core/count_test.go
+++ b/core/count_test.go
@@ -174,5 +174,14 @@
 	}
 	assert.Equal(t, h.askCount().Pending, 1, "the order is not answered yet")
 	h.post(core.StartAnswered{Token: start.Token, Started: true})
+	hb := core.Heartbeat{
+		Worker: "w", Inc: "i", Run: "r", DC: "dc", Capacity: core.Size{Millicores: 8000, MemoryMB: 1000},
+		Services: []core.ServiceLoad{{Service: "s"}}, Running: []core.Attempt{start.Order.Attempt},
+	}
+	hb.Sent, hb.Launching = h.now.Add(time.Millisecond), hb.Running
+	h.post(core.HeartbeatReceived{Token: 2, Heartbeat: hb})
+	assert.Equal(t, h.askCount().Pending, 1, "the worker has not confirmed the start")
+	hb.Sent, hb.Launching = h.now.Add(2*time.Millisecond), nil
+	h.post(core.HeartbeatReceived{Token: 3, Heartbeat: hb})
 	assert.Equal(t, h.askCount().Pending, 0)
 }
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -145,7 +145,8 @@
 }
 
 // isWaiting reports whether the table holds the job and none of its tasks is known to have
-// started. A claim alone is no start: its agent may refuse it or never get it.
+// started. A claim alone is no start: its agent may refuse it or never get it, and the
+// worker may take long to answer.
 func (j *jobView) isWaiting() bool {
 	if !j.row.stored {
 		return false
@@ -162,7 +163,7 @@
 // hasStarted reports whether a task of the job is known to have started.
 func (j *jobView) hasStarted() bool {
 	for _, c := range j.claims {
-		if c.reported || !c.startedAt.IsZero() {
+		if c.launched {
 			return true
 		}
 	}
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -49,6 +49,7 @@
 	target       time.Duration // tail-latency target of a long-running task
 	bestEffort   Size          // the part of size that may be preempted
 	reported     bool          // a heartbeat has listed it
+	launched     bool          // a heartbeat has listed it as started by the worker
 	reportedAt   time.Time     // when the last one did
 	callInFlight bool          // a Start or Settle is in flight
 	stopSent     time.Time
@@ -181,6 +182,7 @@
 func (w *workerView) markReported(c *claim) {
 	if w.inc == c.holder.Inc && slices.Contains(w.heartbeat.Running, c.attempt) {
 		c.reported, c.reportedAt = true, w.heartbeatAt
+		c.launched = !slices.Contains(w.heartbeat.Launching, c.attempt)
 	}
 }
 
@@ -249,6 +251,7 @@
 func (e *Entry) reconcileRunning(w *workerView, t Attempt, ans *HeartbeatAnswer) {
 	if c := w.claims[t.Task]; c != nil && c.attempt == t {
 		c.reported, c.reportedAt = true, e.at.Now
+		c.launched = c.launched || !slices.Contains(w.heartbeat.Launching, t)
 		return
 	}
 	j := e.jobs[t.Task.Job]
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -35,6 +35,7 @@
 	BestEffort    []BestEffortLoad
 	Window        uint64    // number of the window that TailLatencies and BestEffort cover
 	Slowed        []Attempt // best-effort tasks throttled so far that they make little progress
+	Launching     []Attempt // those of Running that the worker has not confirmed to have started
 	// Dead lists earlier incarnations that the agent confirms to be dead, as asked
 	// by HeartbeatAnswer.Prior.
 	Dead []Incarnation
--- a/internal/codec/beat.go
+++ b/internal/codec/beat.go
@@ -38,6 +38,7 @@
 		Lasting:     b.LongRunning,
 		Window:      b.Window,
 		Slowed:      AttemptsToWire(b.Slowed),
+		Launching:   AttemptsToWire(b.Launching),
 	}
 }
 
@@ -55,6 +56,9 @@
 	for _, a := range m.GetSlowed() {
 		f.attempt(a)
 	}
+	for _, a := range m.GetLaunching() {
+		f.attempt(a)
+	}
 	for _, e := range m.GetEnds() {
 		f.attempt(e.GetAttempt())
 	}
@@ -86,6 +90,7 @@
 		LongRunning:   m.GetLasting(),
 		Window:        m.GetWindow(),
 		Slowed:        AttemptsFromWire(m.GetSlowed()),
+		Launching:     AttemptsFromWire(m.GetLaunching()),
 	}
 	return b, f.err("beat")
 }
