core: drop a shard's read that began before it was handed over

The jobs in memory were forgotten with the shard, and the answer holds only what has changed since; the shard counted as read all the same. Its older jobs were then left out of counts, and would not be scheduled by this entry until their rows change. TestPendingCountOfShardTakenBackDuringRead failed before. Change: the answer is used only if the shard is at the revision that the read started from.

--- a/core/count_test.go
+++ b/core/count_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -185,3 +186,44 @@
 	h.post(core.HeartbeatReceived{Token: 3, Heartbeat: hb})
 	assert.Equal(t, h.askCount().Pending, 0)
 }
+
+// nextReads lets time pass until reads are due. It answers those of the round, and returns
+// those of shards.
+func (h *entryHarness) nextReads(entries ...table.Row) (shards []core.ReadChanges) {
+	h.t.Helper()
+	h.now = h.now.Add(core.DefaultPolicy().ReadInterval)
+	h.rev++
+	h.post(core.Tick{})
+	for _, eff := range h.out {
+		r, ok := eff.(core.ReadChanges)
+		switch {
+		case !ok:
+		case strings.HasPrefix(r.Prefix, core.PrefixJob):
+			shards = append(shards, r)
+		case r.Prefix == core.PrefixEntry:
+			h.post(core.ChangesAnswered{Token: r.Token, View: table.View{Rows: entries, Revision: h.rev}})
+		default:
+			h.post(core.ChangesAnswered{Token: r.Token, View: table.View{Revision: h.rev}})
+		}
+	}
+	return shards
+}
+
+// A shard is handed over and taken back while a read of its changes is in flight. The
+// answer holds only what has changed since, but the jobs before were forgotten with the
+// shard: it must not count as read.
+func TestPendingCountOfShardTakenBackDuringRead(t *testing.T) {
+	h := newEntryHarness(t)
+	h.pass(time.Second, true)
+	peer := h.row(core.PrefixEntry+"peer", core.EntryRow{ID: "peer", Addr: "10.0.0.1:1", Heartbeats: 1})
+	peer.Version = h.rev + 1
+	reads := h.nextReads(peer) // the peer takes some of the shards
+	h.nextReads(table.Row{Key: peer.Key, Version: h.rev + 2, Deleted: true})
+	for _, r := range reads {
+		h.post(core.ChangesAnswered{Token: r.Token, View: table.View{Revision: h.rev}})
+	}
+	assert.Assert(t, len(reads) == core.Shards && reads[0].Since > 0)
+	assert.Equal(t, h.askCount().Outcome, core.JobRefused)
+	h.pass(2*time.Second, true)
+	assert.Equal(t, h.askCount().Outcome, core.JobAccepted)
+}
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -274,7 +274,7 @@
 			loading++
 		}
 		sh.reading, sh.began, sh.next = true, e.at.Now, e.at.Now.Add(e.pol.ShardReadInterval)
-		t := e.expect(pendingShard{shard: s})
+		t := e.expect(pendingShard{shard: s, since: sh.since})
 		e.emit(ReadChanges{Token: t, Prefix: shardPrefix(s), Since: sh.since})
 	}
 }
@@ -291,8 +291,8 @@
 		e.recordStoreFault("read")
 		return
 	}
-	if !sh.owned {
-		return
+	if !sh.owned || w.since != sh.since {
+		return // handed over meanwhile, and maybe taken back: its jobs before since were forgotten
 	}
 	sh.loaded, sh.asOf = true, sh.began
 	sh.since = max(sh.since, ev.View.Revision)
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -33,9 +33,10 @@
 	part int
 }
 
-// pendingShard awaits the changes of one shard.
+// pendingShard awaits the changes of one shard since a revision.
 type pendingShard struct {
 	shard int
+	since uint64
 }
 
 func (pendingRound) pendingAnswer() {}
