cmd/jayloft: don't doubt a statement that was never sent

Cause: if the time for the statement ends while a connection is being made, the client's error is the deadline and not the dial, and the statement counted as one that may have taken effect. Inferred from the one failure and shown by TestStatementWithoutConnectionIsNotInDoubt, whose dial lasts until the deadline: it failed before. Change: a statement is in doubt only if the call got a connection.

--- a/cmd/jayloft/ask.go
+++ b/cmd/jayloft/ask.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -92,10 +93,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	res, err := c.Do(ctx, connect.NewRequest(req))
 	if err != nil {
 		s.lastErr = err
-		if mayHaveRun(err) {
+		if connected.Load() && mayHaveRun(err) {
 			s.inDoubt = s.inDoubt || !s.readOnly
 		}
 		return false
@@ -138,13 +141,9 @@
 	return res
 }
 
-// mayHaveRun reports whether a statement whose call failed may have run. It
-// can't have run if no connection was made or the server rejected the call.
+// mayHaveRun reports whether a statement that was sent and whose call failed may have
+// run. It can't have run if the server rejected the call.
 func mayHaveRun(err error) bool {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return false
-	}
 	switch connect.CodeOf(err) {
 	case connect.CodeUnimplemented, connect.CodeInvalidArgument, connect.CodeUnauthenticated, connect.CodePermissionDenied:
 		return false
--- a/cmd/jayloft/query_test.go
+++ b/cmd/jayloft/query_test.go
@@ -200,3 +200,18 @@
 	assert.Equal(t, l.String(), "127.0.0.1:1,127.0.0.1:2")
 	assert.ErrorContains(t, l.Set("localhost"), "no IP number with a port")
 }
+
+// A statement whose time is over before a connection is made was not sent: it must not be
+// reported as one that may have taken effect.
+func TestStatementWithoutConnectionIsNotInDoubt(t *testing.T) {
+	dialUntilDone := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialUntilDone}}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	s := &statementRun{}
+	assert.Assert(t, !s.try(ctx, wire.NewOperatorServiceClient(client, "http://127.0.0.1:1"), &wire.DoRequest{Id: "a", Statement: "drain dc a"}))
+	assert.Assert(t, !s.inDoubt, "error: %v", s.lastErr)
+}
