--- a/core/count_world_test.go
+++ b/core/count_world_test.go
@@ -132,6 +132,14 @@
 	checkWaiting(t, fake.FailReads{Entry: 1, For: 10 * time.Second})
 }
 
+// An entry can't read its shards, though it reads all else, and the others store jobs in
+// them: its reports go on, and must not be taken for recent.
+func TestPendingCountOfUnreadShards(t *testing.T) {
+	checkWaiting(t, fake.FailReads{Entry: 1, Prefix: core.PrefixJob, For: 25 * time.Second},
+		fake.CutEntries{A: 0, B: 1, For: 25 * time.Second}, fake.CutEntries{A: 2, B: 1, For: 25 * time.Second},
+		fake.Enqueue{Jobs: 20, Size: fullJob, Over: 3 * time.Second})
+}
+
 // An entry that was paused answers from what it read before.
 func TestPendingCountAfterPause(t *testing.T) {
 	checkWaiting(t, fake.PauseEntry{Entry: 1, For: 8 * time.Second})
--- a/fake/action.go
+++ b/fake/action.go
@@ -187,11 +187,12 @@
 	For   time.Duration
 }
 
-// FailReads makes the table leave the reads of an entry without an answer, or
-// of all if Entry is negative. Writes go on.
+// FailReads makes the table leave an entry's reads of keys with a prefix without
+// an answer, or those of all if Entry is negative. Writes go on.
 type FailReads struct {
-	Entry int
-	For   time.Duration
+	Entry  int
+	Prefix string
+	For    time.Duration
 }
 
 // CutEntries cuts two entries from each other.
--- a/fake/do.go
+++ b/fake/do.go
@@ -269,8 +269,9 @@
 	w.oracle.trouble(w.now.Add(a.For))
 	for n, e := range w.entries {
 		if a.Entry < 0 || a.Entry%len(w.entries) == n {
-			w.store.unread[e.proc]++
-			w.after(a.For, func() { w.store.unread[e.proc]-- })
+			u := unread{e.proc, a.Prefix}
+			w.store.unread[u]++
+			w.after(a.For, func() { w.store.unread[u]-- })
 		}
 	}
 }
--- a/fake/entry.go
+++ b/fake/entry.go
@@ -170,12 +170,12 @@
 			e.reduce(core.CommitAnswered{Token: x.Token, Result: r, Fault: f})
 		})
 	case core.ReadChanges:
-		s.view(e.proc, func() table.View { return s.changes(x.Prefix, x.Since) },
+		s.view(e.proc, x.Prefix, func() table.View { return s.changes(x.Prefix, x.Since) },
 			func(v table.View, f core.Fault) {
 				e.reduce(core.ChangesAnswered{Token: x.Token, View: v, Fault: f})
 			})
 	case core.ReadRows:
-		s.view(e.proc, func() table.View { return s.read(x.Keys) },
+		s.view(e.proc, x.Keys[0], func() table.View { return s.read(x.Keys) },
 			func(v table.View, f core.Fault) {
 				e.reduce(core.RowsAnswered{Token: x.Token, View: v, Fault: f})
 			})
--- a/fake/store.go
+++ b/fake/store.go
@@ -17,16 +17,32 @@
 	keys     []string // sorted
 	revision uint64
 	down     int
-	slow     time.Duration // added at most
-	lose     float64       // chance that an answer is lost after the change
-	late     float64       // chance that a commit takes effect after its answer is given up
-	unread   map[*proc]int // processes whose reads get no answer
+	slow     time.Duration  // added at most
+	lose     float64        // chance that an answer is lost after the change
+	late     float64        // chance that a commit takes effect after its answer is given up
+	unread   map[unread]int // reads that get no answer
 	writes   rate
 	reads    rate
 }
 
+// unread names a process's reads of keys with a prefix.
+type unread struct {
+	proc   *proc
+	prefix string
+}
+
+// failsRead reports whether a process's read of a key or prefix gets no answer.
+func (s *store) failsRead(from *proc, key string) bool {
+	for u, n := range s.unread {
+		if n > 0 && u.proc == from && strings.HasPrefix(key, u.prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func newStore(w *World) *store {
-	s := &store{w: w, rows: make(map[string]table.Row), unread: make(map[*proc]int), proc: w.newProc("table", "table")}
+	s := &store{w: w, rows: make(map[string]table.Row), unread: make(map[unread]int), proc: w.newProc("table", "table")}
 	w.boot(s.proc)
 	return s
 }
@@ -162,9 +178,10 @@
 		func(a answer, f core.Fault) { done(a.res, f) })
 }
 
-func (s *store) view(from *proc, read func() table.View, done func(table.View, core.Fault)) {
+// view reads rows, of which key is the first one's key or the prefix.
+func (s *store) view(from *proc, key string, read func() table.View, done func(table.View, core.Fault)) {
 	s.reads.add(s.w.now)
-	if s.unread[from] > 0 {
+	if s.failsRead(from, key) {
 		life := from.life
 		s.w.after(tableLimit, func() {
 			s.w.deliver(from, life, func() { done(table.View{}, core.FaultNoAnswer) })
