core: keep a resubmitted job when its withdrawn predecessor is dropped

Cause: a submission to another entry's shard that is withdrawn stays listed for the next transaction without edits. If the caller sends it again first, dropping the old view deletes the job by its id, which is the new view by then; that one stays in the transaction, expects that the job does not exist, and never learns of the conflicting row. The soak's log fits; the order of events is inferred from it and reproduced by TestResubmissionSeesConflictAfterWithdrawal, which failed before. Change: a view is dropped only if it is the one that is kept for the id.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -432,3 +432,45 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, ans.Reason, core.ReasonUnplaceable)
 }
+
+// A submission to another entry's shard is withdrawn, sent again, and meanwhile stored by
+// that shard's owner. The conflict with the owner's row must reach the second submission:
+// otherwise its transaction is sent for ever, and nothing else that shares it is stored.
+func TestResubmissionSeesConflictAfterWithdrawal(t *testing.T) {
+	others := []core.EntryRow{}
+	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		others = append(others, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
+	}
+	h := newEntryHarness(t, others...)
+	submit := func(token core.Token) {
+		h.post(core.JobRequested{Token: token, Request: core.JobRequest{
+			Verb: core.JobSubmit, Path: "/q/tardy", Deadline: h.now.Add(time.Second),
+			Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
+		}})
+		h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Fault: core.FaultNotSent})
+	}
+	h.submit()
+	h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Fault: core.FaultNotSent})
+	blocking := mustFind[core.Commit](h) // its unanswered transaction blocks the commit group
+	submit(80)
+	h.now = h.now.Add(1100 * time.Millisecond)
+	h.post(core.Tick{})
+	submit(81)
+	h.rev = 30
+	h.post(core.CommitAnswered{Token: blocking.Token, Result: table.Result{Committed: true, Revision: h.rev}})
+	commit := mustFind[core.Commit](h)
+	owners := h.row(keyOfJob("tardy"), core.JobRow{
+		Spec:  core.JobSpec{ID: "tardy", Queue: testQueue, Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
+		Tasks: []core.TaskRow{{}},
+	})
+	h.post(core.CommitAnswered{Token: commit.Token, Result: table.Result{Conflicts: []table.Row{owners}}})
+	for range 5 {
+		if r, ok := find[core.JobReply](h); ok && r.Token == 81 {
+			assert.Equal(t, r.Answer.Outcome, core.JobAccepted)
+			return
+		}
+		h.now = h.now.Add(50 * time.Millisecond)
+		h.post(core.Tick{})
+	}
+	t.Fatal("the second submission does not see that the job is stored")
+}
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -386,9 +386,10 @@
 }
 
 // dropForeignJob forgets another entry's job once it has no pending edits or waiting
-// requests.
+// requests. A withdrawn submission may have been replaced by a later one of the same job,
+// which is kept.
 func (e *Entry) dropForeignJob(j *jobView) {
-	if j.foreign && len(j.edits) == 0 && len(j.inFlight) == 0 && len(j.waiters) == 0 {
+	if j.foreign && len(j.edits) == 0 && len(j.inFlight) == 0 && len(j.waiters) == 0 && e.jobs[j.row.Spec.ID] == j {
 		delete(e.jobs, j.row.Spec.ID)
 	}
 }
