config: keep the usual age of counts well below their limit

The limit is 5 s. Cause: a shard is read each 3 s, its count published each 1 s and that read each 0.5 s: 4.5 s are usual without any delay.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -248,6 +248,9 @@
 			`beat (2s) must be less than permit (2s)`,
 			`silent (1.5s) must be less than suspect (1s)`,
 		}},
+		{"age of counts", standFile + "[policy]\ndead = \"3s\"\nshards = \"3s\"\n", []string{
+			`shards, a third of dead, and read take 4.5s together; with visible (3s) they must not exceed 3.75s`,
+		}},
 		{"columns count characters", "[stand]\nplatform = \"127.0.0.1:1\"\nslips = { \"ñ\" = 1, \"ñ\" = 2 }", []string{
 			`3:9: want a string such as "slips.csv", not a table`,
 			`3:20: "ñ" is set twice, first on line 3`,
--- a/config/policy.go
+++ b/config/policy.go
@@ -187,7 +187,7 @@
 	{"beat", "lease"},
 }
 
-// policy reads [policy] into p and checks the orderings.
+// policy reads [policy] into p and checks the orderings and the age of counts.
 func (r *reader) policy(t *node, p *core.Policy) {
 	var fs []field
 	for _, n := range Params() {
@@ -211,4 +211,21 @@
 		}
 		r.reportf(at.offset, "%s (%s) must be less than %s (%s)", o.low, low.Format(a), o.high, high.Format(b))
 	}
+	r.checkCountAge(t, *p)
+}
+
+// checkCountAge requires that counts of waiting jobs stay well below the age at which they
+// are refused, as long as no read or write is late.
+func (r *reader) checkCountAge(t *node, p core.Policy) {
+	usual, most := p.UsualCountAge(), p.MaxCountAge()
+	if usual <= most*3/4 {
+		return
+	}
+	for _, name := range []string{"shards", "visible", "dead", "read"} {
+		if at := t.get(name); at != nil {
+			r.reportf(at.offset, "shards, a third of dead, and read take %s together; with visible (%s) they must not exceed %s",
+				unit.FormatDuration(usual), unit.FormatDuration(p.Visible), unit.FormatDuration(most*3/4))
+			return
+		}
+	}
 }
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -15,8 +15,17 @@
 // travel from the entry that schedules a shard to the one that answers.
 const countInterval = 2 * time.Second
 
-// maxCountAge returns the maximum age of what a count of waiting jobs rests on.
-func (p *Policy) maxCountAge() time.Duration { return p.Visible + countInterval }
+// MaxCountAge returns the maximum age of what a count of waiting jobs rests on.
+func (p *Policy) MaxCountAge() time.Duration { return p.Visible + countInterval }
+
+// UsualCountAge returns the maximum age of what a count rests on while no call is late: a
+// shard was read, its count was published, and the publication was read.
+func (p *Policy) UsualCountAge() time.Duration {
+	return max(p.ShardReadInterval, p.ReadInterval) + p.publishInterval() + p.ReadInterval
+}
+
+// publishInterval returns the time between two writes of an entry's row.
+func (p *Policy) publishInterval() time.Duration { return p.EntryTimeout / 3 }
 
 // readMark records that a read of the table that began at a time returned a revision.
 // All that was committed before the read began has at most that revision.
@@ -72,7 +81,7 @@
 // countRetryAfter returns when a missing part of a count may be there: after the next
 // publication and the next read of it.
 func (e *Entry) countRetryAfter() time.Duration {
-	return max(e.storeRetryAfter(), e.publishInterval()+e.pol.ReadInterval)
+	return max(e.storeRetryAfter(), e.pol.publishInterval()+e.pol.ReadInterval)
 }
 
 // countQueue counts a queue's waiting jobs from the most recent count of each shard.
@@ -82,7 +91,7 @@
 	for s := range e.shards {
 		c := e.countShard(s, queue, own[s])
 		n.waiting += c.waiting
-		if c.asOf.IsZero() || e.at.Now.Sub(c.asOf) > e.pol.maxCountAge() {
+		if c.asOf.IsZero() || e.at.Now.Sub(c.asOf) > e.pol.MaxCountAge() {
 			n.missing++
 		}
 		if c.asOf.Before(n.asOf) {
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -94,7 +94,7 @@
 // enough to answer from memory. Another entry may have taken the shard over otherwise.
 func (e *Entry) isCurrent(j *jobView) bool {
 	sh := &e.shards[j.shard]
-	return !j.foreign && sh.owned && sh.loaded && e.at.Now.Sub(sh.asOf) <= e.pol.maxCountAge()
+	return !j.foreign && sh.owned && sh.loaded && e.at.Now.Sub(sh.asOf) <= e.pol.MaxCountAge()
 }
 
 // forget drops a job from memory, or marks it foreign until its pending edits and
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -48,16 +48,13 @@
 	if e.at.Now.Before(e.nextAnnounce) || !e.hasConfig() || e.leaving || e.breaker.IsOpen(e.at.Now) {
 		return
 	}
-	e.nextAnnounce = e.at.Now.Add(e.publishInterval())
+	e.nextAnnounce = e.at.Now.Add(e.pol.publishInterval())
 	e.heartbeats++
 	row := EntryRow{ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports()}
 	e.commit(pendingMember{}, nil, []Record{row}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
 }
 
-// publishInterval returns the time between two writes of this entry's row.
-func (e *Entry) publishInterval() time.Duration { return e.pol.EntryTimeout / 3 }
-
 // removeDeadPeers deletes the row of one entry that has been dead for ten times
 // EntryTimeout.
 func (e *Entry) removeDeadPeers() {
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -85,7 +85,7 @@
 		e.recordStoreFault("read")
 	} else {
 		e.breaker.RecordSuccess(e.at.Now)
-		e.round.mark(ev.View.Revision, e.at.Now.Add(-e.pol.maxCountAge()))
+		e.round.mark(ev.View.Revision, e.at.Now.Add(-e.pol.MaxCountAge()))
 		e.applyRoundPart(w.part, ev.View)
 	}
 	if e.round.outstanding > 0 || e.round.failed {
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -42,7 +42,7 @@
 	switch {
 	case !e.hasHeardAgents():
 		return "this entry has just started: it may not have heard all workers yet"
-	case age > e.pol.maxCountAge():
+	case age > e.pol.MaxCountAge():
 		return fmt.Sprintf("this entry has not read the table completely for %s", age.Round(time.Millisecond))
 	}
 	return ""
