core: record a reported end when its shard is taken over

Cause: entry-1, which scheduled the job, had left; entry-3 took the shard over at 48.33 s, after the agent's heartbeat (47.91 s) had told it that the incarnation is dead. It loaded the claim and released it as lost at once, at 48.85 s, without looking at the ends that the same heartbeat listed; the agent goes on listing an end until an entry has recorded it. TestDoneBeforeShardIsTakenOver failed before: the task went back to waiting. Change: a claim of a dead incarnation that is loaded ends as done if the latest heartbeat says so.

--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -173,11 +173,24 @@
 		e.worker(t.Holder.Worker).markReported(c)
 	}
 	c.committed = true
-	if e.worker(t.Holder.Worker).dead[t.Holder.Inc] {
-		e.releaseLost(c, "its VM was restarted or replaced")
+	if w := e.worker(t.Holder.Worker); w.dead[t.Holder.Inc] {
+		e.releaseDead(j, c, w)
 	}
 }
 
+// releaseDead releases a claim that was loaded after its incarnation was known to be dead.
+// The agent goes on reporting ends that no entry has recorded: a task that is done is
+// recorded so, and all others can't be running any more.
+func (e *Entry) releaseDead(j *jobView, c *claim, w *workerView) {
+	for _, end := range w.heartbeat.Ends {
+		if end.Attempt == c.attempt && end.Kind == EndDone {
+			e.addEdit(j, endEdit{end: end, worker: w.id})
+			return
+		}
+	}
+	e.releaseLost(c, "its VM was restarted or replaced")
+}
+
 // markReported marks a claim as reported if the latest heartbeat of its holder lists it.
 func (w *workerView) markReported(c *claim) {
 	if w.inc == c.holder.Inc && slices.Contains(w.heartbeat.Running, c.attempt) {
