--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -15,8 +15,17 @@
 // travel from the entry that schedules a shard to the one that answers.
 const countInterval = 2 * time.Second
 
-// maxCountAge returns the maximum age of what a count of waiting jobs rests on.
-func (p *Policy) maxCountAge() time.Duration { return p.Visible + countInterval }
+// MaxCountAge returns the maximum age of what a count of waiting jobs rests on.
+func (p *Policy) MaxCountAge() time.Duration { return p.Visible + countInterval }
+
+// UsualCountAge returns the maximum age of what a count rests on while no call is late: a
+// shard was read, its count was published, and the publication was read.
+func (p *Policy) UsualCountAge() time.Duration {
+	return max(p.ShardReadInterval, p.ReadInterval) + p.publishInterval() + p.ReadInterval
+}
+
+// publishInterval returns the time between two writes of an entry's row.
+func (p *Policy) publishInterval() time.Duration { return p.EntryTimeout / 3 }
 
 // readMark records that a read of the table that began at a time returned a revision.
 // All that was committed before the read began has at most that revision.
@@ -72,7 +81,7 @@
 // countRetryAfter returns when a missing part of a count may be there: after the next
 // publication and the next read of it.
 func (e *Entry) countRetryAfter() time.Duration {
-	return max(e.storeRetryAfter(), e.publishInterval()+e.pol.ReadInterval)
+	return max(e.storeRetryAfter(), e.pol.publishInterval()+e.pol.ReadInterval)
 }
 
 // countQueue counts a queue's waiting jobs from the most recent count of each shard.
@@ -82,7 +91,7 @@
 	for s := range e.shards {
 		c := e.countShard(s, queue, own[s])
 		n.waiting += c.waiting
-		if c.asOf.IsZero() || e.at.Now.Sub(c.asOf) > e.pol.maxCountAge() {
+		if c.asOf.IsZero() || e.at.Now.Sub(c.asOf) > e.pol.MaxCountAge() {
 			n.missing++
 		}
 		if c.asOf.Before(n.asOf) {
@@ -145,7 +154,8 @@
 }
 
 // isWaiting reports whether the table holds the job and none of its tasks is known to have
-// started. A claim alone is no start: its agent may refuse it or never get it.
+// started. A claim alone is no start: its agent may refuse it or never get it, and the
+// worker may take long to answer.
 func (j *jobView) isWaiting() bool {
 	if !j.row.stored {
 		return false
@@ -162,7 +172,7 @@
 // hasStarted reports whether a task of the job is known to have started.
 func (j *jobView) hasStarted() bool {
 	for _, c := range j.claims {
-		if c.reported || !c.startedAt.IsZero() {
+		if c.launched {
 			return true
 		}
 	}
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -48,16 +48,13 @@
 	if e.at.Now.Before(e.nextAnnounce) || !e.hasConfig() || e.leaving || e.breaker.IsOpen(e.at.Now) {
 		return
 	}
-	e.nextAnnounce = e.at.Now.Add(e.publishInterval())
+	e.nextAnnounce = e.at.Now.Add(e.pol.publishInterval())
 	e.heartbeats++
 	row := EntryRow{ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports()}
 	e.commit(pendingMember{}, nil, []Record{row}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
 }
 
-// publishInterval returns the time between two writes of this entry's row.
-func (e *Entry) publishInterval() time.Duration { return e.pol.EntryTimeout / 3 }
-
 // removeDeadPeers deletes the row of one entry that has been dead for ten times
 // EntryTimeout.
 func (e *Entry) removeDeadPeers() {
@@ -274,7 +271,7 @@
 			loading++
 		}
 		sh.reading, sh.began, sh.next = true, e.at.Now, e.at.Now.Add(e.pol.ShardReadInterval)
-		t := e.expect(pendingShard{shard: s})
+		t := e.expect(pendingShard{shard: s, since: sh.since})
 		e.emit(ReadChanges{Token: t, Prefix: shardPrefix(s), Since: sh.since})
 	}
 }
@@ -291,8 +288,8 @@
 		e.recordStoreFault("read")
 		return
 	}
-	if !sh.owned {
-		return
+	if !sh.owned || w.since != sh.since {
+		return // handed over meanwhile, and maybe taken back: its jobs before since were forgotten
 	}
 	sh.loaded, sh.asOf = true, sh.began
 	sh.since = max(sh.since, ev.View.Revision)
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -33,9 +33,10 @@
 	part int
 }
 
-// pendingShard awaits the changes of one shard.
+// pendingShard awaits the changes of one shard since a revision.
 type pendingShard struct {
 	shard int
+	since uint64
 }
 
 func (pendingRound) pendingAnswer() {}
@@ -84,7 +85,7 @@
 		e.recordStoreFault("read")
 	} else {
 		e.breaker.RecordSuccess(e.at.Now)
-		e.round.mark(ev.View.Revision, e.at.Now.Add(-e.pol.maxCountAge()))
+		e.round.mark(ev.View.Revision, e.at.Now.Add(-e.pol.MaxCountAge()))
 		e.applyRoundPart(w.part, ev.View)
 	}
 	if e.round.outstanding > 0 || e.round.failed {
