core: add the shortest runs of three faults that TestFuzzReads found

An agent that gives an admitted attempt up ("no room within its permit") before its worker has started it reports EndEvicted; the row counts an eviction, and hasStarted takes that for a start. - Slow lists: show jobs and show tasks read 32 shards one after the other; with slow messages the first are over 5 s old when the last is read.

--- a/core/fuzz_reads_test.go
+++ b/core/fuzz_reads_test.go
@@ -92,3 +92,42 @@
 	}
 	t.Errorf("%v\n%s", found, s)
 }
+
+// An attempt that its agent gives up for want of room before the worker has started it
+// counts as evicted, and its job no longer as waiting.
+func TestPendingCountOfTaskEvictedBeforeStart(t *testing.T) {
+	checkScript(t, script{Seed: 10740, Entries: 2, Workers: 6, Actions: []fake.Action{
+		fake.Read{Of: fake.ReadCounts, Every: 500 * time.Millisecond, For: time.Hour},
+		fake.Submit{Entry: 2, Tasks: 8, Size: core.Size{Millicores: 900, MemoryMB: 500}},
+		fake.Wait{For: 6100 * time.Millisecond},
+		fake.Enqueue{Entry: 2, Jobs: 1, Tasks: 2, Over: 2500 * time.Millisecond},
+		fake.Enqueue{Entry: 1, Jobs: 2, Tasks: 2, Size: fullJob, Over: 193 * time.Millisecond},
+		fake.Enqueue{Entry: 2, Jobs: 5, Tasks: 2, Size: fullJob, Over: 9 * time.Second},
+		fake.Enqueue{Entry: 2, Jobs: 2, Tasks: 1, Size: fullJob, Over: 138 * time.Millisecond},
+		fake.Objects{For: 2500 * time.Millisecond},
+	}})
+}
+
+// A job of another entry's shard is withdrawn at its caller's deadline and submitted
+// again: the entry must not lose sight of it, and conflict with its row for ever.
+func TestResubmissionAfterWithdrawal(t *testing.T) {
+	checkScript(t, script{Seed: 0, Entries: 3, Workers: 6, Actions: []fake.Action{
+		fake.Enqueue{Entry: 0, Jobs: 1, Tasks: 1, Size: fullJob, Over: 5 * time.Millisecond},
+		fake.Enqueue{Entry: 1, Jobs: 5, Tasks: 2, Size: fullJob, Over: 31 * time.Millisecond},
+		fake.LeaveEntry{Entry: 0},
+		fake.Store{Lose: 0.6, Late: 0.02, For: 15 * time.Second},
+		fake.Enqueue{Entry: 1, Jobs: 1, Tasks: 3, Over: time.Second},
+	}})
+}
+
+// A list that is read shard after shard for over 5 s lacks the jobs that came to the
+// shards that were read first.
+func TestListReadSlowly(t *testing.T) {
+	checkScript(t, script{Seed: 7231, Entries: 1, Workers: 3, Actions: []fake.Action{
+		fake.Read{Of: fake.ReadLists, Every: 4 * time.Second, For: time.Hour},
+		fake.Enqueue{Entry: 1, Jobs: 5, Tasks: 3, Size: fullJob, Over: 12 * time.Millisecond},
+		fake.Enqueue{Entry: 1, Jobs: 3, Tasks: 2, Size: fullJob, Over: 2379 * time.Millisecond},
+		fake.Enqueue{Entry: 0, Jobs: 5, Tasks: 2, Over: 11 * time.Second},
+		fake.Net{Delay: 878 * time.Millisecond, Double: 0.6, For: 5600 * time.Millisecond},
+	}})
+}
