core: don't take an attempt that ended before its launch for a start

Cause: an agent that gives up an admitted attempt, or whose worker refuses it, reports an eviction or a failure; the row counts it, and a count in the row passed for a start. Change: an end says whether the worker had started the attempt, and only that counts. With it, 'show jobs' and 'show tasks' are refused if reading all shards takes longer than visible: they then lack jobs that came to the first shards (TestListReadSlowly, which failed before).

--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -57,6 +57,7 @@
 // whose end is no longer needed.
 func (a *Agent) reconcileEnded(t *heldTask, isHeld bool, w WorkerTask) {
 	if isHeld {
+		t.started = true
 		e := w.End
 		e.Attempt = w.Attempt
 		if e.Kind == EndEvicted && t.stopping == EndCancelled {
@@ -76,7 +77,7 @@
 		return
 	}
 	e := w.End
-	e.Attempt = w.Attempt
+	e.Attempt, e.Started = w.Attempt, true
 	a.ends[w.Attempt] = e
 }
 
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -330,6 +330,7 @@
 	if e.Kind == EndFailed || e.Kind == EndLost {
 		a.count("task", Reason(e.Kind))
 	}
+	e.Started = t.started
 	a.ends[e.Attempt] = e
 	a.expediteHeartbeats()
 }
--- a/core/edit.go
+++ b/core/edit.go
@@ -110,6 +110,7 @@
 	if ed.end.Saved != "" {
 		t.Saved = ed.end.Saved
 	}
+	r.Started = r.Started || ed.end.Started
 	t.State = ed.nextState(r, t, p)
 	if t.State == TaskDone {
 		t.Output = ed.end.Output
--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -44,6 +44,7 @@
 type pendingShow struct {
 	token Token
 	cmd   Show
+	began time.Time // when the first shard was read
 	shard int
 	cols  []string
 	rows  [][]string // of the shards before this one
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -179,9 +179,9 @@
 	return j.row.hasStarted()
 }
 
-// hasStarted reports whether the row shows that a task has started.
+// hasStarted reports whether the row shows that a task has started. A failure or an
+// eviction alone does not: an agent may give an admitted attempt up, or its worker refuse
+// it, before it has started.
 func (r *JobRow) hasStarted() bool {
-	return r.Started || slices.ContainsFunc(r.Tasks, func(t TaskRow) bool {
-		return t.State == TaskDone || t.Failures > 0 || t.Evictions > 0 || t.Saved != ""
-	})
+	return r.Started || slices.ContainsFunc(r.Tasks, func(t TaskRow) bool { return t.State == TaskDone || t.Saved != "" })
 }
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -20,7 +20,7 @@
 			e.replyCommand(t, CommandResult{Outcome: CommandRefused, Text: commandRefusalText[reason], RetryAfter: e.storeRetryAfter()})
 			return
 		}
-		e.showShard(pendingShow{token: t, cmd: cmd})
+		e.showShard(pendingShow{token: t, cmd: cmd, began: e.at.Now})
 		return
 	}
 	cols, rows := e.list(cmd.Kind)
@@ -67,6 +67,11 @@
 	w.cols, rows = listJobs(w.cmd.Kind, jobs)
 	w.rows = append(w.rows, rows...)
 	w.shard++
+	if took := e.at.Now.Sub(w.began); took > e.pol.Visible {
+		text := fmt.Sprintf("reading all jobs takes longer than %s: the list would lack those that came meanwhile", e.pol.Visible)
+		e.replyCommand(w.token, CommandResult{Outcome: CommandRefused, Text: text, RetryAfter: e.storeRetryAfter()})
+		return
+	}
 	if w.shard < Shards {
 		e.showShard(w)
 		return
--- a/core/types.go
+++ b/core/types.go
@@ -100,6 +100,7 @@
 	Output  string // with EndDone
 	Reason  string
 	Saved   string // the newest checkpoint, if the worker names one
+	Started bool   // the worker had started the attempt
 }
 
 // Outcome is the final outcome of a request of a caller.
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -81,6 +81,7 @@
 		Output:  e.Output,
 		Reason:  e.Reason,
 		Saved:   e.Saved,
+		Started: e.Started,
 	}
 }
 
@@ -92,6 +93,7 @@
 		Output:  e.GetOutput(),
 		Reason:  e.GetReason(),
 		Saved:   e.GetSaved(),
+		Started: e.GetStarted(),
 	}
 }
 
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -31,7 +31,7 @@
 		Slots: 8, Services: []core.ServiceLoad{{Service: "s", Running: 1, Queued: 2, Mean: time.Second}},
 		ClassLoads:    []core.ClassLoad{{Class: "c", Running: 4}},
 		Running:       []core.Attempt{attempt},
-		Ends:          []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}},
+		Ends:          []core.End{{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p", Started: true}},
 		TailLatencies: []core.ImageTailLatency{{Image: "i", Worst: 0.5, Utilization: 0.6, Tasks: 2}},
 		BestEffort:    []core.BestEffortLoad{{Image: "f", Millicores: 5}},
 		Labels:        []string{"l"}, TargetedTasks: 1, LongRunning: 3, Window: 4, Slowed: []core.Attempt{attempt}, Launching: []core.Attempt{attempt},
@@ -206,7 +206,7 @@
 			Attempt: AttemptToWire(attempt), Incarnation: "i", Class: "c", Size: SizeToWire(size),
 			Used: SizeToWire(size), Urgent: true, State: "ended", Started: 1, Checkpointed: 2,
 			Filler: true, Lasting: true, TargetNs: 1, TailNs: 2,
-			End: EndToWire(core.End{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p"}),
+			End: EndToWire(core.End{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p", Started: true}),
 		}},
 	})
 	in.Fault = core.FaultNoAnswer // not from the wire
