core: give no count and no 'no such job' by an old configuration

Found by the reviewer: with the configuration unread for 10 s, a count was answered, and GET below the prefix of a new queue said that the job does not exist. The age was asked for only where no queue matched. TestPendingCountOfOldConfiguration and TestUnknownJobNeedsRecentConfiguration failed before. Change: a count is refused if the last complete read is older than a count may be, and JobNotFound has the same bound as 'no such queue'.

--- a/core/entryask.go
+++ b/core/entryask.go
@@ -73,13 +73,16 @@
 // that a queue does not exist: a new queue must be known everywhere within 2 s.
 const maxConfigAge = 1500 * time.Millisecond
 
+// configAge returns the time since the configuration was last known to be current.
+func (e *Entry) configAge() time.Duration { return e.at.Now.Sub(e.round.asOf) }
+
 // routeJobRequest finds the queue of a request and copies the queue's settings into
 // the job. It answers requests without a queue, about the queue itself or with an
 // invalid job, and reports whether the request is still open.
 func (e *Entry) routeJobRequest(jr *openJobRequest) bool {
 	q, rest, ok := e.config.queue(jr.Host, jr.Path)
 	switch {
-	case !ok && e.at.Now.Sub(e.round.asOf) > maxConfigAge:
+	case !ok && e.configAge() > maxConfigAge:
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: ReasonConfig, RetryAfter: e.storeRetryAfter()})
 		return false
 	case !ok:
@@ -235,6 +238,11 @@
 		return
 	}
 	r := ev.View.Rows[0]
+	if r.Version == 0 && !jr.Relayed && e.configAge() > maxConfigAge {
+		// By a newer configuration, the path may belong to another queue.
+		e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: ReasonConfig, RetryAfter: e.storeRetryAfter()})
+		return
+	}
 	if r.Version == 0 {
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
 		return
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -70,8 +70,11 @@
 func (e *Entry) answerCount(queue string) JobAnswer {
 	n := e.countQueue(queue)
 	ans := JobAnswer{Outcome: JobAccepted, Pending: n.waiting}
-	if n.missing > 0 {
+	switch {
+	case n.missing > 0:
 		ans = JobAnswer{Outcome: JobRefused, Reason: ReasonStale, RetryAfter: e.countRetryAfter()}
+	case e.configAge() > e.pol.MaxCountAge(): // the queue may be another one by now
+		ans = JobAnswer{Outcome: JobRefused, Reason: ReasonConfig, RetryAfter: e.storeRetryAfter()}
 	}
 	e.logEvent("queue counted", queue, "waiting", n.waiting, "missing", n.missing,
 		"age", e.at.Now.Sub(n.asOf).String(), "outcome", string(ans.Outcome))
