core: fence a worker only if most of the entries asked have answered

TestNoFenceWhilePeersHaveNotAnswered failed before. Entries that have ended drop out of the live ones after EntryTimeout and are not waited for.

--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -25,6 +25,7 @@
 
 	peersAskedAt    time.Time // when the other entries were last asked about the worker
 	peersPending    int       // answers that are outstanding
+	peersAsked      int
 	peersAnswered   int
 	peerHeartbeatAt time.Time // when another entry last reported heartbeats from the worker
 
--- a/core/entryfence.go
+++ b/core/entryfence.go
@@ -85,8 +85,8 @@
 	if w.peersPending > 0 || e.at.Now.Sub(w.peerHeartbeatAt) < e.pol.Suspect {
 		return false
 	}
-	if w.peersAnswered == 0 && len(e.livePeerAddrs()) > 0 {
-		return false // no other entry answered: the fault may be at this entry
+	if 2*w.peersAnswered < w.peersAsked && len(e.livePeerAddrs()) > 0 {
+		return false // most other entries did not answer: they may hear the worker
 	}
 	e.writeFence(w, inc)
 	return false
@@ -128,7 +128,7 @@
 	peers := e.livePeerAddrs()
 	for _, id := range ids {
 		w := e.workers[id]
-		w.peersAskedAt, w.peersPending, w.peersAnswered = e.at.Now, len(peers), 0
+		w.peersAskedAt, w.peersPending, w.peersAsked, w.peersAnswered = e.at.Now, len(peers), len(peers), 0
 	}
 	for _, addr := range peers {
 		e.emit(QueryLiveness{Token: e.expect(pendingLiveness{workers: ids}), Addr: addr, Workers: ids})
