core: place no task of a team with a quota before all shards are read

Found by the reviewer: a sum over claims of which a part is missing. Claims in shards that were just taken over did not count against the team's quota. TestQuotaBeforeShardsAreRead failed before.

--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -312,6 +312,9 @@
 	if !ok || row.Quota == (Size{}) {
 		return true
 	}
+	if !e.hasReadOwnedShards() {
+		return false // they may hold claims of the team
+	}
 	n := int64(max(len(e.liveEntries()), 1))
 	quota := unlimited(row.Quota)
 	share := Size{
@@ -323,6 +326,11 @@
 	return e.quota.Allows(string(spec.Team), spec.Size, share)
 }
 
+// hasReadOwnedShards reports whether every shard that this entry owns has been read.
+func (e *Entry) hasReadOwnedShards() bool {
+	return !slices.ContainsFunc(e.shards[:], func(sh shardView) bool { return sh.owned && !sh.loaded })
+}
+
 // unlimited replaces the zero fields of a quota, which mean no limit, by a number
 // that no team reaches.
 func unlimited(q Size) Size {
