core: stop announcing an entry that can't read the table

TestShardsOfEntryThatCannotReadAreTakenOver failed before: 0 counts in 10 s. Change: an entry announces itself only if its last complete read is no older than EntryTimeout. The row also has the sum by queue again, which entries of the build before read: without it they would leave out the jobs of all others during a change of build.

--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -141,6 +141,17 @@
 	return rs
 }
 
+// sumReports returns the waiting jobs of all reports by queue.
+func sumReports(rs []ShardReport) map[string]int {
+	n := map[string]int{}
+	for _, r := range rs {
+		for queue, waiting := range r.Waiting {
+			n[queue] += waiting
+		}
+	}
+	return n
+}
+
 // waitingByShard counts the waiting jobs in memory, by shard and queue.
 func (e *Entry) waitingByShard() [Shards]map[string]int {
 	var n [Shards]map[string]int
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -49,8 +49,13 @@
 		return
 	}
 	e.nextAnnounce = e.at.Now.Add(e.pol.publishInterval())
+	if e.at.Now.Sub(e.round.asOf) > e.pol.EntryTimeout {
+		e.count("announce", ReasonStore)
+		return // it can't schedule the jobs of shards that it can't read: others must take them over
+	}
 	e.heartbeats++
 	row := EntryRow{ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports()}
+	row.Pending = sumReports(row.Reports)
 	e.commit(pendingMember{}, nil, []Record{row}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
 }
--- a/core/rows.go
+++ b/core/rows.go
@@ -115,6 +115,8 @@
 	ID         EntryID `cbor:"1,keyasint"`
 	Addr       string  `cbor:"2,keyasint"` // of EntryService
 	Heartbeats uint64  `cbor:"3,keyasint"` // counts the rewrites of the row
+	// Pending is the sum of Reports by queue, for entries that don't read Reports yet.
+	Pending map[string]int `cbor:"4,keyasint,omitempty"`
 	// Reports count the waiting jobs of the shards that the entry schedules. A shard
 	// without a report has not been read by the entry.
 	Reports []ShardReport `cbor:"5,keyasint,omitempty"`
