--- a/core/entryread.go
+++ b/core/entryread.go
@@ -96,6 +96,7 @@
 		e.logEvent("store regained", string(e.self.ID), "away", e.round.startedAt.Sub(e.round.asOf).String())
 	}
 	first := !e.hasConfig()
+	e.excuseUnreadTime(e.round.startedAt.Sub(e.round.asOf))
 	e.round.done, e.round.asOf = e.round.begun, e.round.startedAt
 	e.assignShards()
 	if first {
@@ -109,6 +110,17 @@
 	e.logEvent("table read failed", string(e.self.ID), "prefix", prefix, "since", since, "took", e.at.Now.Sub(began).String())
 }
 
+// excuseUnreadTime keeps the time in which this entry could not read the table from
+// counting against its peers, whose rows may have changed unseen or could not be written.
+func (e *Entry) excuseUnreadTime(gap time.Duration) {
+	if e.round.asOf.IsZero() || gap < e.pol.EntryTimeout {
+		return
+	}
+	for _, p := range e.peers {
+		p.changed = earliest(p.changed.Add(gap), e.round.startedAt)
+	}
+}
+
 // recordStoreFault counts a failed call of the table, logs the first one since the
 // last successful round, and reports the failure to the circuit breaker.
 func (e *Entry) recordStoreFault(call string) {
