core: report a done task of a fenced agent whenever it learns of it

Cause: a fenced agent marks what it holds as moved and drops the end of a moved attempt. A task that was done before the stop reached its worker is dropped too, and the worker made to forget it, though entries record it as long as the claim stands. Change: only ends other than done are dropped.

--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -64,7 +64,7 @@
 			e.Kind = EndCancelled
 		}
 		a.recordEnd(t, e)
-		if t.moved {
+		if t.moved && e.Kind != EndDone {
 			a.emit(Control{Attempt: w.Attempt, Verb: VerbForget})
 		}
 		return
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -319,12 +319,13 @@
 	}
 }
 
-// recordEnd moves a task from held to ends.
+// recordEnd moves a task from held to ends. The end of an attempt whose claim was moved is
+// of no use, unless the task is done: an entry records that as long as the claim stands.
 func (a *Agent) recordEnd(t *heldTask, e End) {
 	delete(a.held, t.order.Attempt.Task)
 	a.logEvent("run ended", e.Attempt.String(), "kind", string(e.Kind), "reason", e.Reason, "moved", t.moved)
 	a.updateUsageRatio(t)
-	if t.moved {
+	if t.moved && e.Kind != EndDone {
 		return
 	}
 	if e.Kind == EndFailed || e.Kind == EndLost {
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -16,6 +16,7 @@
 	boot         string
 	running      map[core.Attempt]bool
 	refused      map[core.Attempt]bool // stopped or ended here: will never start
+	done         map[core.Attempt]bool // ends that the agent has not made it forget
 	loseStarts   bool                  // starts get no answer and are only recorded in lateStarts
 	unresponsive bool                  // no call is answered
 	lateStarts   []core.Attempt
@@ -34,6 +35,11 @@
 	for a := range w.running {
 		in.Tasks = append(in.Tasks, core.WorkerTask{Attempt: a, Size: noIncSize, Urgent: true, State: core.WorkerRunning})
 	}
+	for a := range w.done {
+		in.Tasks = append(in.Tasks, core.WorkerTask{
+			Attempt: a, Size: noIncSize, Urgent: true, State: core.WorkerEnded, End: core.End{Kind: core.EndDone, Output: "out"},
+		})
+	}
 	return in
 }
 
@@ -102,6 +108,9 @@
 		if n.w.unresponsive {
 			return core.Controlled{Attempt: eff.Attempt, Verb: eff.Verb, Fault: core.FaultNoAnswer}
 		}
+		if eff.Verb == core.VerbForget {
+			delete(n.w.done, eff.Attempt)
+		}
 		if eff.Verb == core.VerbStop {
 			n.w.stops++
 			delete(n.w.running, eff.Attempt)
@@ -137,7 +146,7 @@
 }
 
 func newNoIncWorker() *noIncWorker {
-	return &noIncWorker{boot: "b", running: map[core.Attempt]bool{}, refused: map[core.Attempt]bool{}}
+	return &noIncWorker{boot: "b", running: map[core.Attempt]bool{}, refused: map[core.Attempt]bool{}, done: map[core.Attempt]bool{}}
 }
 
 // An unanswered start may be executed seconds later. Its attempt is reported as lost
@@ -204,6 +213,25 @@
 	assert.Equal(t, n.last.Inc, second)
 }
 
+// A task is done at its worker when its agent is fenced, but the agent learns of it only
+// afterwards: it must still report that, or the task runs again.
+func TestDoneThatIsLearntAfterFence(t *testing.T) {
+	w := newNoIncWorker()
+	n := newNoIncAgent(t, w)
+	n.order(noIncAttempt)
+	n.run(500 * time.Millisecond)
+	delete(w.running, noIncAttempt)
+	w.done[noIncAttempt] = true
+	w.unresponsive = true
+	n.fenced[n.last.Inc] = true
+	n.run(2 * time.Second)
+	w.unresponsive = false
+	n.run(2 * time.Second)
+	assert.Equal(t, len(n.last.Ends), 1)
+	assert.Equal(t, n.last.Ends[0].Kind, core.EndDone)
+	assert.Assert(t, w.done[noIncAttempt], "the worker may forget the end only once the table holds it")
+}
+
 // A rebooted worker is a new incarnation and runs nothing of the previous one.
 func TestRebootedWorker(t *testing.T) {
 	n := newNoIncAgent(t, newNoIncWorker())
