--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -77,10 +77,19 @@
 		ans = JobAnswer{Outcome: JobRefused, Reason: ReasonConfig, RetryAfter: e.storeRetryAfter()}
 	}
 	e.logEvent("queue counted", queue, "waiting", n.waiting, "missing", n.missing,
-		"age", e.at.Now.Sub(n.asOf).String(), "outcome", string(ans.Outcome))
+		"age", n.age(e.at.Now), "outcome", string(ans.Outcome))
 	return ans
 }
 
+// age returns the age of the oldest part as text, or "unknown" if nobody has counted some
+// shard.
+func (n *queueCount) age(now time.Time) string {
+	if n.asOf.IsZero() {
+		return "unknown"
+	}
+	return now.Sub(n.asOf).String()
+}
+
 // countRetryAfter returns when a missing part of a count may be there: after the next
 // publication and the next read of it.
 func (e *Entry) countRetryAfter() time.Duration {
