--- a/fake/queuejob.go
+++ b/fake/queuejob.go
@@ -77,7 +77,7 @@
 func (j *queueJob) waited(since, calm time.Time) bool {
 	started := before(j.startedAt, since) && before(calm, since)
 	return j.had(since, func(r *core.JobRow) bool {
-		return !r.Cancel && r.Ended.IsZero() && (!started || hasNoClaim(r))
+		return !r.Cancel && r.Ended.IsZero() && (!started || hasNoClaim(r) && !r.Started)
 	})
 }
 
