homes: let only a few home entries hear the agents and own shards

Agents learn the homes from answers, and ask a few entries when none answers. A change of a task is reported at once to the entry that ordered it, to the others within 0.3 s. A new home's silence is no evidence for a fence until agents have had time to find it.

--- a/cmd/jayloft/entry.go
+++ b/cmd/jayloft/entry.go
@@ -70,6 +70,7 @@
 	identity := core.EntryIdentity{
 		ID:   core.EntryID(cfg.Name + "-" + rand.Text()[:incarnationChars]),
 		Addr: cfg.Peers,
+		DC:   cfg.DC, Millicores: cfg.Millicores,
 	}
 	return io.NewEntry(identity, t, io.WithLog(l), io.WithPolicy(f.Options()...), io.WithClock(io.BootClock()))
 }
--- a/config/config.go
+++ b/config/config.go
@@ -52,6 +52,10 @@
 	Table   netip.AddrPort // the platform's table
 	Objects netip.AddrPort // the platform's object store; default Table
 	Grace   time.Duration  // for requests in flight at a graceful shutdown
+	// DC and Millicores say where the entry runs and how much processor time it may
+	// use; zero values if they are not known.
+	DC         core.DC
+	Millicores int64
 }
 
 // Agent holds the settings of an agent.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -251,6 +251,11 @@
 		{"age of counts", standFile + "[policy]\ndead = \"3s\"\nshards = \"3s\"\n", []string{
 			`shards, a third of dead, and read take 4.5s together; with visible (3s) they must not exceed 3.75s`,
 		}},
+		{"homes without a platform", entryFile + "homes = 5\n", []string{
+			`16:9: homes needs [platform]`,
+		}},
+		{"no homes", entryFile + "homes = 0\n", []string{`16:9: 0 is not between 1 and 1000`}},
+		{"more homes than entries may exist", entryFile + "homes = 1001\n", []string{`16:9: 1001 is not between 1 and 1000`}},
 		{"columns count characters", "[stand]\nplatform = \"127.0.0.1:1\"\nslips = { \"ñ\" = 1, \"ñ\" = 2 }", []string{
 			`3:9: want a string such as "slips.csv", not a table`,
 			`3:20: "ñ" is set twice, first on line 3`,
--- a/config/parse.go
+++ b/config/parse.go
@@ -77,6 +77,8 @@
 		field{"table", own, address(&e.Table, "table", dial)},
 		field{"objects", false, address(&e.Objects, "objects", dial)},
 		field{"grace", false, duration(&e.Grace, 0, maxGrace)},
+		field{"dc", false, name(&e.DC)},
+		field{"cores", false, cores(&e.Millicores, 1, maxMillicores)},
 	)
 	if !e.Objects.IsValid() {
 		e.Objects = e.Table
--- a/config/policy.go
+++ b/config/policy.go
@@ -49,6 +49,7 @@
 		{"suspect", Seconds, 200 * ms, 10 * minute, func(p *core.Policy) any { return &p.Suspect }},
 		{"visible", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.Visible }},
 		{"dead", Seconds, 1, 10 * minute, func(p *core.Policy) any { return &p.EntryTimeout }},
+		{"homes", Count, 1, core.EveryEntry, func(p *core.Policy) any { return &p.Homes }},
 		{"fence", Seconds, 1 * ms, minute, func(p *core.Policy) any { return &p.FenceInterval }},
 		{"settle", Seconds, 100 * ms, minute, func(p *core.Policy) any { return &p.SettleAfter }},
 		{"checkpoint", Seconds, 100 * ms, hour, func(p *core.Policy) any { return &p.CheckpointInterval }},
@@ -212,6 +213,16 @@
 		r.reportf(at.offset, "%s (%s) must be less than %s (%s)", o.low, low.Format(a), o.high, high.Format(b))
 	}
 	r.checkCountAge(t, *p)
+	r.checkHomes(t)
+}
+
+// checkHomes requires that homes are bounded only where entries take jobs alone: an entry
+// that is no home hears no agents, so it could not send requests to endpoints.
+func (r *reader) checkHomes(t *node) {
+	at := t.get("homes")
+	if at != nil && r.root.get("platform") == nil {
+		r.report(at.offset, "homes needs [platform]: without it, each entry sends requests to endpoints and has to hear all agents")
+	}
 }
 
 // checkCountAge requires that counts of waiting jobs stay well below the age at which they
--- a/core/agent.go
+++ b/core/agent.go
@@ -67,13 +67,6 @@
 	wakeAt           time.Time             // time of the last Wake effect
 }
 
-// entryPeer is an entry that the agent sends heartbeats to.
-type entryPeer struct {
-	next       time.Time
-	inFlight   bool
-	answeredAt time.Time
-}
-
 // NewAgent returns the reducer of one run of an agent process.
 func NewAgent(self AgentIdentity, opts ...Option) *Agent {
 	a := &Agent{
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -2,32 +2,11 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"sort"
 	"time"
 )
 
-// heartbeatTimeout is how long a heartbeat may go unanswered before the next one
-// is sent.
-const heartbeatTimeout = 3 * time.Second
-
-// advanceHeartbeats sends a heartbeat to each entry that is due one.
-func (a *Agent) advanceHeartbeats() {
-	if !a.ready {
-		return
-	}
-	for _, addr := range a.peerAddrs() {
-		p := a.peers[addr]
-		if p.inFlight && a.at.Now.Before(p.next.Add(heartbeatTimeout)) || a.at.Now.Before(p.next) {
-			continue
-		}
-		p.next = a.at.Now.Add(a.heartbeatInterval())
-		p.inFlight = true
-		a.emit(SendBeat{Entry: addr, Heartbeat: a.heartbeat()})
-	}
-}
-
 // lowLeaseFraction is the remaining fraction of a lease below which heartbeats
 // become more frequent, and lowLeaseSpeedup by which factor. An echo takes two
 // heartbeats to arrive.
@@ -49,25 +28,6 @@
 // leaseLapsed reports whether there is no valid lease to start tasks under.
 func (a *Agent) leaseLapsed() bool { return a.pol.on(guardLease) && !a.leaseEnd().After(a.at.Now) }
 
-// expediteHeartbeats makes the next heartbeats due now, to report a change without
-// delay.
-func (a *Agent) expediteHeartbeats() {
-	for _, p := range a.peers {
-		if !p.inFlight {
-			p.next = a.at.Now
-		}
-	}
-}
-
-func (a *Agent) peerAddrs() []netip.AddrPort {
-	addrs := make([]netip.AddrPort, 0, len(a.peers))
-	for addr := range a.peers {
-		addrs = append(addrs, addr)
-	}
-	sort.Slice(addrs, func(i, j int) bool { return addrs[i].Compare(addrs[j]) < 0 })
-	return addrs
-}
-
 // heartbeat returns the present state of the VM.
 func (a *Agent) heartbeat() Heartbeat {
 	b := Heartbeat{
@@ -151,9 +111,7 @@
 	p.answeredAt, a.answeredAt = a.at.Now, a.at.Now
 	ans := ev.Answer
 	a.applyConfig(ans)
-	if len(ans.Entries) > 0 {
-		a.updatePeers(append(ans.Entries, ev.Entry))
-	}
+	a.keepPeers(ans.Entries)
 	for _, t := range ans.Recorded {
 		a.forgetEnd(t)
 	}
@@ -241,70 +199,6 @@
 	}
 }
 
-// updatePeers replaces the known entries. Those of the settings always stay.
-func (a *Agent) updatePeers(addrs []netip.AddrPort) {
-	if len(addrs) == 0 {
-		return
-	}
-	keep := map[netip.AddrPort]bool{}
-	for _, addr := range append(addrs, a.self.Entries...) {
-		keep[addr] = true
-		if a.peers[addr] == nil {
-			a.peers[addr] = &entryPeer{next: a.at.Now}
-		}
-	}
-	for addr := range a.peers {
-		if !keep[addr] {
-			delete(a.peers, addr)
-		}
-	}
-}
-
-const (
-	// discoveryAfter is how long no entry must have answered before the agent
-	// reads their rows from the table.
-	discoveryAfter = 3 * time.Second
-	// discoveryInterval is the minimum time between two such reads.
-	discoveryInterval = time.Second
-)
-
-// advanceDiscovery reads the rows of the entries from the table if no entry
-// answers.
-func (a *Agent) advanceDiscovery() {
-	isolated := len(a.peers) == 0 || a.at.Now.Sub(latest(a.answeredAt, a.startedAt)) > discoveryAfter
-	if !a.pol.FindEntries || !isolated || a.at.Now.Before(a.nextDiscovery) {
-		return
-	}
-	a.nextDiscovery = a.at.Now.Add(discoveryInterval)
-	a.emit(ReadEntries{})
-}
-
-// handleEntriesRead replaces the known entries by those of the rows read. Some
-// rows may be of dead entries: those do not answer, and the answers of live ones
-// name all live entries.
-func (a *Agent) handleEntriesRead(ev EntriesRead) {
-	if ev.Fault != FaultNone {
-		a.count("store.read", ReasonStore)
-		return
-	}
-	var addrs []netip.AddrPort
-	for _, r := range ev.View.Rows {
-		rec, err := Decode(r.Key, r.Value)
-		if err != nil {
-			a.logNote("entry row passed over", r.Key, err.Error())
-			continue
-		}
-		row, _ := rec.(EntryRow)
-		addr, err := netip.ParseAddrPort(row.Addr)
-		if err != nil {
-			a.logNote("entry row without an address", r.Key, err.Error())
-			continue
-		}
-		addrs = append(addrs, addr)
-	}
-	a.updatePeers(addrs)
-}
-
 // forgetEnd drops an end that the table holds.
 func (a *Agent) forgetEnd(t Attempt) {
 	if _, ok := a.ends[t]; !ok {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -242,7 +242,7 @@
 			"filler", t.order.BestEffort, "target", t.order.Target.String(), "size", t.order.Size.Millicores,
 			"image", t.order.Class)
 		a.renewTask(t)
-		a.expediteHeartbeats() // an entry may throttle it
+		a.reportChange(t.order.By) // an entry may throttle it
 	case ev.Retryable:
 		a.count("launch", ReasonWorker)
 		a.recordEnd(t, End{Attempt: ev.Attempt, Kind: EndLost, Reason: "worker refused: " + ev.Reason})
@@ -333,7 +333,7 @@
 	}
 	e.Started = t.started
 	a.ends[e.Attempt] = e
-	a.expediteHeartbeats()
+	a.reportChange(t.order.By)
 }
 
 // advanceCheckpoints orders the periodic checkpoints.
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -444,7 +444,7 @@
 	h := newEntryHarness(t, others...)
 	submit := func(token core.Token) {
 		h.post(core.JobRequested{Token: token, Request: core.JobRequest{
-			Verb: core.JobSubmit, Path: "/q/tardy", Deadline: h.now.Add(time.Second),
+			Verb: core.JobSubmit, Path: "/q/tardy-1", Deadline: h.now.Add(time.Second),
 			Spec: core.JobSpec{Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
 		}})
 		h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Fault: core.FaultNotSent})
@@ -459,8 +459,8 @@
 	h.rev = 30
 	h.post(core.CommitAnswered{Token: blocking.Token, Result: table.Result{Committed: true, Revision: h.rev}})
 	commit := mustFind[core.Commit](h)
-	owners := h.row(keyOfJob("tardy"), core.JobRow{
-		Spec:  core.JobSpec{ID: "tardy", Queue: testQueue, Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
+	owners := h.row(keyOfJob("tardy-1"), core.JobRow{
+		Spec:  core.JobSpec{ID: "tardy-1", Queue: testQueue, Steps: []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}},
 		Tasks: []core.TaskRow{{}},
 	})
 	h.post(core.CommitAnswered{Token: commit.Token, Result: table.Result{Conflicts: []table.Row{owners}}})
--- a/core/effect.go
+++ b/core/effect.go
@@ -105,6 +105,9 @@
 type LivenessReply struct {
 	Token Token
 	Alive []WorkerID
+	// Unsure says that workers that are not in Alive may send heartbeats nonetheless:
+	// the entry has not been a home for long enough to tell.
+	Unsure bool
 }
 
 // CommandReply answers a CommandAsked.
--- a/core/entry.go
+++ b/core/entry.go
@@ -41,6 +41,8 @@
 	nextClaims    time.Time // when claims are next checked
 	nextFence     time.Time // earliest time of the next fence write
 
+	homes homeView
+
 	peers        map[EntryID]*peerView
 	heartbeats   uint64
 	nextAnnounce time.Time // when this entry's own row is next written
@@ -232,13 +234,18 @@
 // Ready reports whether the entry may serve: it has read the configuration, is not
 // leaving, and the agents have had time to send their first heartbeats.
 func (e *Entry) Ready() bool {
-	return e.hasConfig() && !e.leaving && e.hasHeardAgents()
+	return e.hasConfig() && !e.leaving && e.isPastJoin(e.startedAt)
 }
 
 // hasHeardAgents reports whether the agents have had time to send their first heartbeats
-// to this process.
+// to this process as a home.
 func (e *Entry) hasHeardAgents() bool {
-	return e.at.Now.Sub(e.startedAt) > announceHeartbeats*e.pol.HeartbeatInterval
+	return e.homes.self && e.isPastJoin(latest(e.startedAt, e.homes.selfSince))
+}
+
+// isPastJoin reports whether agents have had time to discover an entry since a time.
+func (e *Entry) isPastJoin(since time.Time) bool {
+	return e.at.Now.Sub(since) > announceHeartbeats*e.pol.HeartbeatInterval
 }
 
 // announceHeartbeats is the number of heartbeat intervals within which agents
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -45,7 +45,7 @@
 	w := e.workers[id]
 	if w == nil {
 		w = &workerView{
-			id: id, dead: map[Incarnation]bool{}, heartbeatAt: e.at.Now,
+			id: id, dead: map[Incarnation]bool{}, heartbeatAt: latest(e.at.Now, e.homes.heardFrom()),
 			claims: map[TaskID]*claim{}, orphanEnds: map[Attempt]*orphanEnd{},
 		}
 		e.workers[id] = w
@@ -57,7 +57,7 @@
 func (e *Entry) handleHeartbeatReceived(ev HeartbeatReceived) {
 	hb := ev.Heartbeat
 	w := e.worker(hb.Worker)
-	ans := HeartbeatAnswer{Config: e.config.rev, Entries: e.livePeerAddrs()}
+	ans := HeartbeatAnswer{Config: e.config.rev, Entries: e.homes.addrs}
 	e.recordDone(w, hb, &ans)
 	for _, inc := range hb.Dead {
 		e.confirmDead(w, inc)
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // pendingStart awaits an agent's answer to a start order.
 type pendingStart struct{ c *claim }
@@ -19,11 +22,11 @@
 	}
 	w := e.workers[c.holder.Worker]
 	c.callInFlight, c.since = true, e.at.Now
-	e.emit(Start{Token: e.expect(pendingStart{c}), Addr: w.heartbeat.Addr, Order: j.startOrder(c)})
+	e.emit(Start{Token: e.expect(pendingStart{c}), Addr: w.heartbeat.Addr, Order: j.startOrder(c, e.self.Addr)})
 }
 
-// startOrder returns the order to start a claim's attempt.
-func (j *jobView) startOrder(c *claim) Order {
+// startOrder returns the order of an entry to start a claim's attempt.
+func (j *jobView) startOrder(c *claim, by netip.AddrPort) Order {
 	spec := &j.row.Spec
 	n := c.attempt.Task.N
 	st := spec.Step(n)
@@ -33,6 +36,7 @@
 		Size: st.Size, Urgent: c.urgent, Input: spec.input(n),
 		Step: step, Index: index, Saved: j.row.Tasks[n].Saved,
 		BestEffort: st.BestEffort, LongRunning: st.LongRunning, Target: st.Target,
+		By: by,
 	}
 }
 
--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -200,7 +200,7 @@
 		e.replayCommand(c, op)
 		return
 	}
-	if c.targetRead && c.targetVersion != target.Version {
+	if c.targetRead && c.targetVersion != target.Version && c.losesRace() {
 		e.reportLostRace(c, ver, target)
 		return
 	}
@@ -217,6 +217,14 @@
 	e.sendCommand(c, p, ver, target)
 }
 
+// losesRace reports whether a change of the command's row since it was first read means
+// that another command came first. The row of a job also changes as its tasks run: a
+// cancellation is planned again from the new row.
+func (c *command) losesRace() bool {
+	_, cancels := c.cmd.(CancelJob)
+	return !cancels
+}
+
 // replayCommand answers a command that took effect earlier with its recorded result.
 func (e *Entry) replayCommand(c *command, op table.Row) {
 	rec, err := Decode(op.Key, op.Value)
--- a/core/entryevent.go
+++ b/core/entryevent.go
@@ -84,7 +84,9 @@
 type LivenessAnswered struct {
 	Token Token
 	Alive []WorkerID // those of them that the other entry receives heartbeats from
-	Fault Fault
+	// Unsure says that the other entry can't tell that the rest are silent.
+	Unsure bool
+	Fault  Fault
 }
 
 // CommandAsked is an operator's command. It is answered with a CommandReply.
--- a/core/entryfence.go
+++ b/core/entryfence.go
@@ -35,7 +35,7 @@
 // then on, but their claims are released only once they are fenced and their lease has
 // expired.
 func (e *Entry) advanceSuspects() {
-	if e.at.Now.Before(e.nextSuspect) || !e.hasConfig() {
+	if e.at.Now.Before(e.nextSuspect) || !e.hasConfig() || !e.homes.self {
 		return
 	}
 	e.nextSuspect = e.at.Now.Add(suspectCheckInterval)
@@ -71,8 +71,8 @@
 }
 
 // suspect releases the fenced claims of a silent worker, and fences the worker if no
-// other entry receives its heartbeats. It reports whether the other entries must be
-// queried first.
+// other home receives its heartbeats. It reports whether the other homes must be queried
+// first.
 func (e *Entry) suspect(w *workerView) bool {
 	e.releaseFenced(w)
 	inc := w.unfencedIncarnation(e.fences[w.id].row)
@@ -85,8 +85,8 @@
 	if w.peersPending > 0 || e.at.Now.Sub(w.peerHeartbeatAt) < e.pol.Suspect {
 		return false
 	}
-	if 2*w.peersAnswered < w.peersAsked && len(e.livePeerAddrs()) > 0 {
-		return false // most other entries did not answer: they may hear the worker
+	if 2*w.peersAnswered < w.peersAsked && len(e.homes.others) > 0 {
+		return false // most other homes did not answer or can't tell: they may hear the worker
 	}
 	e.writeFence(w, inc)
 	return false
@@ -119,13 +119,13 @@
 	}
 }
 
-// queryPeers asks the other live entries from which of the workers they receive
-// heartbeats. An entry that receives none at all may itself be at fault.
+// queryPeers asks the other homes from which of the workers they receive heartbeats. An
+// entry that receives none at all may itself be at fault.
 func (e *Entry) queryPeers(ids []WorkerID) {
 	if len(ids) == 0 {
 		return
 	}
-	peers := e.livePeerAddrs()
+	peers := e.homes.others
 	for _, id := range ids {
 		w := e.workers[id]
 		w.peersAskedAt, w.peersPending, w.peersAsked, w.peersAnswered = e.at.Now, len(peers), len(peers), 0
@@ -135,16 +135,19 @@
 	}
 }
 
-// handleLivenessAsked answers which of the workers have sent this entry a heartbeat
-// within Policy.Suspect.
+// handleLivenessAsked answers which of the workers send this entry heartbeats: the last one
+// came within Policy.Suspect less a heartbeat's interval, since the entries don't receive
+// them at the same time and one that asks has waited for Policy.Suspect. An entry that is no home, or has been one for a short time only,
+// can't tell that the others are silent.
 func (e *Entry) handleLivenessAsked(ev LivenessAsked) {
+	recent := e.pol.Suspect - e.pol.HeartbeatInterval
 	var alive []WorkerID
 	for _, id := range ev.Workers {
-		if w := e.workers[id]; w != nil && !w.heartbeat.Sent.IsZero() && e.at.Now.Sub(w.heartbeatAt) < e.pol.Suspect {
+		if w := e.workers[id]; w != nil && !w.heartbeat.Sent.IsZero() && e.at.Now.Sub(w.heartbeatAt) < recent {
 			alive = append(alive, id)
 		}
 	}
-	e.emit(LivenessReply{Token: ev.Token, Alive: alive})
+	e.emit(LivenessReply{Token: ev.Token, Alive: alive, Unsure: !e.canTellSilence()})
 }
 
 // handleLivenessAnswered records which workers another entry receives heartbeats from.
@@ -163,7 +166,7 @@
 			continue
 		}
 		w.peersPending--
-		if ev.Fault == FaultNone {
+		if ev.Fault == FaultNone && !ev.Unsure {
 			w.peersAnswered++
 		}
 		if alive[id] {
--- a/core/entryinterference.go
+++ b/core/entryinterference.go
@@ -27,7 +27,7 @@
 
 const (
 	// interferenceSaveInterval is the time between two writes of the learnt estimates.
-	// All entries learn the same, so the last write may win.
+	// All homes learn the same, so the last write may win.
 	interferenceSaveInterval = 4 * time.Second
 )
 
@@ -48,7 +48,7 @@
 		e.emit(ReadRows{Token: e.expect(pendingInterference{}), Keys: []string{KeyInterference}})
 		return
 	}
-	if known := e.interference.Snapshot(); len(known) > 0 && !e.leaving {
+	if known := e.interference.Snapshot(); len(known) > 0 && e.homes.self && !e.leaving {
 		e.commit(pendingMember{}, nil, []Record{InterferenceRow{Pairs: known}}, []string{KeyInterference})
 	}
 }
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -7,8 +7,7 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"jayloft/homes"
 	"jayloft/limit"
 	"jayloft/table"
 )
@@ -54,7 +53,10 @@
 		return // it can't schedule the jobs of shards that it can't read: others must take them over
 	}
 	e.heartbeats++
-	row := EntryRow{ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports()}
+	row := EntryRow{
+		ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports(),
+		DC: e.self.DC, Millicores: e.self.Millicores, Joined: e.homes.joined,
+	}
 	row.Pending = sumReports(row.Reports)
 	e.commit(pendingMember{}, nil, []Record{row}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
@@ -153,37 +155,21 @@
 	return ids
 }
 
-// livePeerAddrs returns the valid addresses of the other live entries.
-func (e *Entry) livePeerAddrs() []netip.AddrPort {
-	var addrs []netip.AddrPort
-	for _, id := range e.liveEntries() {
-		if id == e.self.ID {
-			continue
-		}
-		if addr := e.peers[id].addr; addr.IsValid() {
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs
-}
-
-// assignShards determines the owner of each shard by rendezvous hashing: the live
-// entry with the highest hash of its id and the shard. With a stale view two entries
-// may take the same shard; conditional writes keep that safe, and some of them fail.
+// assignShards determines the homes and the owner of each shard among them. With a stale
+// view two entries may take the same shard; conditional writes keep that safe, and some of
+// them fail.
 func (e *Entry) assignShards() {
-	live := e.liveEntries()
-	n := float64(max(len(live), 1))
+	e.updateHomes()
 	before := e.ownedShards()
 	defer func() {
 		if after := e.ownedShards(); after != before {
-			e.logEvent("shards owned", string(e.self.ID), "shards", after, "before", before, "live", len(live))
+			e.logEvent("shards owned", string(e.self.ID), "shards", after, "before", before, "homes", len(e.homes.ids))
 		}
 	}()
-	e.writes.SetRate(e.at.Now, e.pol.WritesPerSecond/n)
-	e.reads.SetRate(e.at.Now, e.pol.ReadsPerSecond/n)
-	for s := range e.shards {
+	e.shareBudgets()
+	for s, id := range homes.Assign(e.homes.ids, Shards) {
 		sh := &e.shards[s]
-		sh.owner = owner(s, live)
+		sh.owner = EntryID(id)
 		owned := sh.owner == e.self.ID
 		if owned == sh.owned {
 			continue
@@ -209,20 +195,6 @@
 	return n
 }
 
-// owner returns the owner of a shard among the live entries by rendezvous hashing, or
-// "" if there are none.
-func owner(shard int, live []EntryID) EntryID {
-	var best EntryID
-	var top uint64
-	for _, id := range live {
-		h := xxhash.Sum64String(string(id) + "/" + shardPrefix(shard))
-		if best == "" || h > top {
-			best, top = id, h
-		}
-	}
-	return best
-}
-
 // adoptShard takes over the jobs of a newly owned shard that are in memory because
 // of an unfinished edit. Their rows may not change again, so the next read may not
 // return them.
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -306,7 +306,7 @@
 }
 
 // withinQuota reports whether one more task of the job fits this entry's share of the
-// team's quota. All live entries have equal shares.
+// team's quota. All homes have equal shares.
 func (e *Entry) withinQuota(spec *JobSpec) bool {
 	row, ok := e.config.team(spec.Team)
 	if !ok || row.Quota == (Size{}) {
@@ -315,7 +315,7 @@
 	if !e.hasReadOwnedShards() {
 		return false // they may hold claims of the team
 	}
-	n := int64(max(len(e.liveEntries()), 1))
+	n := int64(max(len(e.homes.ids), 1))
 	quota := unlimited(row.Quota)
 	share := Size{
 		Millicores: quota.Millicores / n, MemoryMB: quota.MemoryMB / n, Accelerators: quota.Accelerators / n,
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -28,6 +28,9 @@
 // roundPrefixes are the key prefixes that each round reads.
 var roundPrefixes = [3]string{PrefixConfig, PrefixEntry, PrefixFence}
 
+// entryPart is the index of PrefixEntry in roundPrefixes.
+const entryPart = 1
+
 // pendingRound awaits one part of a round.
 type pendingRound struct {
 	part int
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -248,13 +248,13 @@
 	}
 	shards := map[EntryID]int{}
 	for s := range e.shards {
-		shards[owner(s, ids)]++
+		shards[e.shards[s].owner]++
 	}
 	var rows [][]string
 	for id, p := range e.peers {
-		rows = append(rows, []string{string(id), p.row.Addr, strconv.FormatBool(live[id]), strconv.Itoa(shards[id])})
+		rows = append(rows, []string{string(id), p.row.Addr, strconv.FormatBool(live[id]), strconv.FormatBool(e.homes.has(id)), strconv.Itoa(shards[id])})
 	}
-	return []string{"entry", "addr", "live", "shards"}, rows
+	return []string{"entry", "addr", "live", "home", "shards"}, rows
 }
 
 // listJobs returns one row per job, or per task of the jobs, depending on kind.
--- a/core/entrywhy.go
+++ b/core/entrywhy.go
@@ -62,7 +62,7 @@
 		}
 		rows = e.taskReasons(j, id.N)
 	}
-	rows = append(rows, []string{"scheduled by", string(owner(ShardOf(row.Spec.ID), e.liveEntries()))})
+	rows = append(rows, []string{"scheduled by", string(e.shards[ShardOf(row.Spec.ID)].owner)})
 	return CommandResult{Outcome: CommandDone, Version: e.config.changes, Columns: whyColumns, Rows: rows}
 }
 
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -95,11 +95,11 @@
 	Echo      time.Time
 	Fenced    bool
 	Config    uint64
-	Rows      []table.Row // changed configuration
-	Full      bool        // Rows is the whole configuration
-	Recorded  []Attempt   // attempts whose ends the table holds
-	Moved     []Attempt   // attempts that no longer hold the claim of their task
-	Entries   []netip.AddrPort
+	Rows      []table.Row      // changed configuration
+	Full      bool             // Rows is the whole configuration
+	Recorded  []Attempt        // attempts whose ends the table holds
+	Moved     []Attempt        // attempts that no longer hold the claim of their task
+	Entries   []netip.AddrPort // the home entries, to send heartbeats to; empty if unknown
 	Throttles []Throttle
 	// Interference holds the estimates for the VM's pairs of long-running and
 	// best-effort images.
--- a/core/order.go
+++ b/core/order.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // SettleState is an agent's definite answer about an attempt.
 type SettleState string
@@ -30,6 +33,9 @@
 	BestEffort  bool          // see StepSpec
 	LongRunning bool          // see StepSpec
 	Target      time.Duration // see StepSpec
+	// By is the address of the entry that orders the start. Its agent reports changes of
+	// the task there first; to others, an invalid address, a little later.
+	By netip.AddrPort
 }
 
 // Reserved returns the size that is reserved for the task: its declared size, without
--- a/core/policy.go
+++ b/core/policy.go
@@ -39,6 +39,9 @@
 	// EntryTimeout is how long an entry's row may stay unchanged before the other
 	// entries consider it dead.
 	EntryTimeout time.Duration
+	// Homes is the number of home entries: those that receive the heartbeats of all agents
+	// and own the shards of jobs. EveryEntry makes all of them homes.
+	Homes int
 	// FenceInterval is the minimum time between two fences of silent workers by one
 	// entry.
 	FenceInterval time.Duration
@@ -110,6 +113,12 @@
 	NoiseEvict                  // every slowdown evicts a batch task
 )
 
+// EveryEntry as Policy.Homes is more than a site may have entries.
+const EveryEntry = 1000
+
+// boundsHomes reports whether some entries may not be homes.
+func (p *Policy) boundsHomes() bool { return p.Homes < EveryEntry }
+
 // DefaultPolicy returns the policy that applies unless settings change it.
 func DefaultPolicy() Policy {
 	return Policy{
@@ -140,6 +149,7 @@
 		TxnRows:         200,
 		TxnEntries:      2000,
 		TxnKilobytes:    4096,
+		Homes:           EveryEntry,
 		RampUpTime:      10 * time.Second,
 	}
 }
@@ -176,6 +186,10 @@
 type EntryIdentity struct {
 	ID   EntryID        // unique to this process, not kept over a restart
 	Addr netip.AddrPort // at which the other processes reach its EntryService
+	// DC and Millicores are where it runs and the processor time that it may use; zero
+	// values if they are not known. See package homes.
+	DC         DC
+	Millicores int64
 }
 
 // AgentIdentity identifies an agent process, its worker and location, and the entries
--- a/core/rows.go
+++ b/core/rows.go
@@ -120,6 +120,10 @@
 	// Reports count the waiting jobs of the shards that the entry schedules. A shard
 	// without a report has not been read by the entry.
 	Reports []ShardReport `cbor:"5,keyasint,omitempty"`
+	// DC, Millicores and Joined decide whether the entry is a home, see package homes.
+	DC         DC     `cbor:"6,keyasint,omitempty"`
+	Millicores int64  `cbor:"7,keyasint,omitempty"`
+	Joined     uint64 `cbor:"8,keyasint,omitempty"` // revision of the table when it joined
 }
 
 // ShardReport is an entry's count of the waiting jobs in one shard.
--- a/fake/agent.go
+++ b/fake/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jayloft/core"
+	"jayloft/table"
 )
 
 // agent is an agent process: a reducer and what carries out its effects.
@@ -43,7 +44,9 @@
 		Worker: g.vm.id, DC: g.vm.dc, Rack: g.vm.rack, Addr: g.vm.addr(), Run: g.run,
 	}
 	for i := range g.w.cfg.entries {
-		site.Entries = append(site.Entries, entryAddr(i))
+		if !g.w.cfg.discover {
+			site.Entries = append(site.Entries, entryAddr(i))
+		}
 	}
 	g.beat = core.Heartbeat{}
 	g.reducer = core.NewAgent(site, g.w.cfg.core...)
@@ -95,6 +98,10 @@
 		g.exit()
 	case core.SendBeat:
 		g.sendBeat(x)
+	case core.ReadEntries:
+		s := g.w.store
+		s.view(g.proc, core.PrefixEntry, func() table.View { return s.changes(core.PrefixEntry, 0) },
+			func(v table.View, f core.Fault) { g.reduce(core.EntriesRead{View: v, Fault: f}) })
 	case core.StartReply:
 		answerTo(g.starts, x.Token, x)
 	case core.SettleReply:
--- a/fake/entry.go
+++ b/fake/entry.go
@@ -18,7 +18,7 @@
 	wakes    int
 	leaving  bool
 	beats    map[core.Token]func(core.HeartbeatAnswer)
-	hears    map[core.Token]func([]core.WorkerID)
+	hears    map[core.Token]func(core.LivenessReply)
 	commands map[core.Token]func(core.CommandResult)
 
 	jobRequests map[core.Token]func(core.JobAnswer)
@@ -38,12 +38,13 @@
 	e.w.boot(e.proc)
 	e.leaving = false
 	e.beats = make(map[core.Token]func(core.HeartbeatAnswer))
-	e.hears = make(map[core.Token]func([]core.WorkerID))
+	e.hears = make(map[core.Token]func(core.LivenessReply))
 	e.commands = make(map[core.Token]func(core.CommandResult))
 	e.jobRequests = make(map[core.Token]func(core.JobAnswer))
 	e.queries = make(map[core.Token]func(core.CommandResult))
 	e.judges = make(map[core.Token]judge)
-	e.reducer = core.NewEntry(core.EntryIdentity{ID: e.id(), Addr: entryAddr(e.n)}, e.w.cfg.core...)
+	identity := core.EntryIdentity{ID: e.id(), Addr: entryAddr(e.n), DC: dcName(e.n % e.w.cfg.dcs), Millicores: 800}
+	e.reducer = core.NewEntry(identity, e.w.cfg.core...)
 	e.reduce(core.Tick{})
 }
 
@@ -110,7 +111,7 @@
 	case core.BeatReply:
 		e.beatReply(x)
 	case core.LivenessReply:
-		answerTo(e.hears, x.Token, x.Alive)
+		answerTo(e.hears, x.Token, x)
 	case core.CommandReply:
 		answerTo(e.commands, x.Token, x.Result)
 		answerTo(e.queries, x.Token, x.Result)
@@ -254,15 +255,15 @@
 
 func (e *entry) hear(x core.QueryLiveness) {
 	to := e.w.entryAt(x.Addr)
-	r := request[[]core.WorkerID]{
+	r := request[core.LivenessReply]{
 		from: e.proc, limit: peerLimit,
-		done: func(heard []core.WorkerID, f core.Fault) {
-			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: heard, Fault: f})
+		done: func(r core.LivenessReply, f core.Fault) {
+			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: r.Alive, Unsure: r.Unsure, Fault: f})
 		},
 	}
 	if to != nil {
 		r.to = to.proc
-		r.serve = func(reply func([]core.WorkerID)) {
+		r.serve = func(reply func(core.LivenessReply)) {
 			t := e.w.nextToken()
 			to.hears[t] = reply
 			to.reduce(core.LivenessAsked{Token: t, Workers: x.Workers})
@@ -270,3 +271,9 @@
 	}
 	send(e.w, r)
 }
+
+// IsHome reports whether the n-th entry is a home by its own view.
+func (w *World) IsHome(n int) bool {
+	r, ok := w.entries[n].reducer.(*core.Entry)
+	return ok && w.entries[n].proc.up && r.IsHome()
+}
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -68,6 +68,7 @@
 	services []core.ServiceRow
 	teams    []core.TeamRow
 	core     []core.Option
+	discover bool
 	drift    float64
 	work     func(task core.TaskID) time.Duration
 	serve    func(id core.RequestID) time.Duration
@@ -100,6 +101,9 @@
 	return func(c *config) { c.core = append(c.core, opts...) }
 }
 
+// Discover makes agents find the entries in the table only.
+func Discover() Option { return func(c *config) { c.discover = true } }
+
 // Work sets how long each task computes at full speed.
 func Work(f func(core.TaskID) time.Duration) Option {
 	return func(c *config) { c.work = f }
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -61,7 +61,7 @@
 	o := core.Order{
 		Attempt: attempt, Holder: core.Holder{Worker: "w", Inc: "i"}, Echo: sent,
 		Team: "t", Class: "c", Size: size, Urgent: true, Input: "in",
-		Step: 1, Index: 2, Saved: "p", BestEffort: true, LongRunning: true, Target: time.Second,
+		Step: 1, Index: 2, Saved: "p", BestEffort: true, LongRunning: true, Target: time.Second, By: addr,
 	}
 	assertAllFieldsSet(t, o)
 	got, err := StartFromWire(StartToWire(o), "w")
@@ -161,7 +161,7 @@
 	order := core.Order{
 		Attempt: attempt, Holder: core.Holder{Worker: "w", Inc: "i"}, Echo: sent,
 		Team: "t", Class: "c", Size: size, Urgent: true, Input: "in",
-		Step: 1, Index: 2, Saved: "p", BestEffort: true, LongRunning: true, Target: time.Second,
+		Step: 1, Index: 2, Saved: "p", BestEffort: true, LongRunning: true, Target: time.Second, By: addr,
 	}
 	request := core.Request{ID: "r", Service: "s", Team: "t", Body: []byte("b"), Deadline: sent, Idempotent: true}
 	serve := core.Serve{Call: 1, Name: "n", Worker: "w", Addr: addr, Inc: "i", Run: "r", Request: request}
--- a/internal/codec/order.go
+++ b/internal/codec/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"jayloft/core"
@@ -25,6 +26,7 @@
 		Filler:      o.BestEffort,
 		Lasting:     o.LongRunning,
 		TargetNs:    int64(o.Target),
+		By:          optionalAddr(o.By),
 	}
 }
 
@@ -50,9 +52,20 @@
 		LongRunning: m.GetLasting(),
 		Target:      time.Duration(m.GetTargetNs()),
 	}
+	if by := m.GetBy(); by != "" { // entries of an earlier build don't name themselves
+		o.By = f.addr("by", by)
+	}
 	return o, f.err("start")
 }
 
+// optionalAddr converts an address that may be invalid; it is empty then.
+func optionalAddr(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
 // StopToWire converts an order to stop an attempt.
 func StopToWire(s core.Stop) *wire.StopRequest {
 	return &wire.StopRequest{
--- a/io/entry.go
+++ b/io/entry.go
@@ -34,7 +34,7 @@
 	tokens     tokens
 	answers    waiters[core.RequestID, core.Answer]
 	heartbeats waiters[core.Token, core.HeartbeatAnswer]
-	liveness   waiters[core.Token, []core.WorkerID]
+	liveness   waiters[core.Token, core.LivenessReply]
 	results    waiters[core.Token, core.CommandResult]
 	jobs       waiters[core.Token, core.JobAnswer]
 }
@@ -95,7 +95,7 @@
 	case core.BeatReply:
 		s.heartbeats.deliver(eff.Token, eff.Answer)
 	case core.LivenessReply:
-		s.liveness.deliver(eff.Token, eff.Alive)
+		s.liveness.deliver(eff.Token, eff)
 	case core.CommandReply:
 		s.results.deliver(eff.Token, eff.Result)
 	case core.JobReply:
--- a/io/entryrpc.go
+++ b/io/entryrpc.go
@@ -47,13 +47,13 @@
 // Hear returns the workers that this entry receives heartbeats from, among those
 // that another entry asks about.
 func (h entryRPC) Hear(ctx context.Context, r *connect.Request[wire.HearRequest]) (*connect.Response[wire.HearResponse], error) {
-	alive, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.liveness, 0, func(t core.Token) core.EntryEvent {
+	reply, err := request(ctx, h.s.driver, &h.s.tokens, &h.s.liveness, 0, func(t core.Token) core.EntryEvent {
 		return core.LivenessAsked{Token: t, Workers: codec.Strings[core.WorkerID](r.Msg.GetWorkers())}
 	})
 	if err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&wire.HearResponse{Heard: codec.Strings[string](alive)}), nil
+	return connect.NewResponse(&wire.HearResponse{Heard: codec.Strings[string](reply.Alive), Unsure: reply.Unsure}), nil
 }
 
 // operatorRPC implements OperatorService.
--- a/sweep/entry.go
+++ b/sweep/entry.go
@@ -16,7 +16,7 @@
 	reducer  *core.Entry
 	wakes    int
 	beats    replies[core.HeartbeatAnswer]
-	hears    replies[[]core.WorkerID]
+	hears    replies[core.LivenessReply]
 	commands replies[core.CommandResult]
 }
 
@@ -26,7 +26,7 @@
 		reducer: core.NewEntry(core.EntryIdentity{
 			ID: core.EntryID(fmt.Sprintf("e%d", i+1)), Addr: entryAddr(i),
 		}, s.opts...),
-		beats: replies[core.HeartbeatAnswer]{}, hears: replies[[]core.WorkerID]{},
+		beats: replies[core.HeartbeatAnswer]{}, hears: replies[core.LivenessReply]{},
 		commands: replies[core.CommandResult]{},
 	}
 }
@@ -50,7 +50,7 @@
 	case core.BeatReply:
 		e.beats.answer(x.Token, x.Answer)
 	case core.LivenessReply:
-		e.hears.answer(x.Token, x.Alive)
+		e.hears.answer(x.Token, x)
 	case core.CommandReply:
 		e.commands.answer(x.Token, x.Result)
 	case core.Commit:
@@ -157,15 +157,15 @@
 
 func (e *entry) hear(x core.QueryLiveness) {
 	to := e.sim.entryAt(x.Addr)
-	send(e.sim, message[[]core.WorkerID]{
+	send(e.sim, message[core.LivenessReply]{
 		from: &e.host, to: &to.host, limit: peerLimit,
-		serve: func(reply func([]core.WorkerID)) {
+		serve: func(reply func(core.LivenessReply)) {
 			t := e.sim.nextToken()
 			to.hears[t] = reply
 			to.reduce(core.LivenessAsked{Token: t, Workers: x.Workers})
 		},
-		done: func(heard []core.WorkerID, f core.Fault) {
-			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: heard, Fault: f})
+		done: func(r core.LivenessReply, f core.Fault) {
+			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: r.Alive, Unsure: r.Unsure, Fault: f})
 		},
 	})
 }
