place: prefer workers of the entry's own

Change: each worker has one home that prefers it; the index chooses preferred workers first as long as one has room.

--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -29,6 +29,8 @@
 	peersAnswered   int
 	peerHeartbeatAt time.Time // when another entry last reported heartbeats from the worker
 
+	preferredBy EntryID // the home that places tasks here first; empty until it is determined
+
 	failures workerFailures
 	noise    workerNoise
 }
@@ -283,6 +285,7 @@
 		Closed:    !ok || w.heartbeat.LeaseLapsed || w.failures.isQuarantined(e.at.Now),
 		Penalty:   w.failures.penalty() + e.noisePenalty(w),
 		RampShare: e.rampShare(w.heartbeat.DC),
+		Preferred: e.prefers(w),
 	})
 	e.queue.blocked = false
 }
--- a/core/entryhome.go
+++ b/core/entryhome.go
@@ -44,6 +44,7 @@
 	if h.joined == 0 {
 		h.joined = e.round.since[entryPart]
 	}
+	before := h.ids
 	h.ids = homes.Choose(e.candidateHomes(), e.pol.Homes)
 	h.addrs, h.others = nil, nil
 	for _, id := range h.ids {
@@ -54,11 +55,34 @@
 	if h.self && !was {
 		e.becomeHome()
 	}
+	if !slices.Equal(h.ids, before) {
+		e.preferWorkers()
+	}
 	if h.self != was {
 		e.logEvent("home changed", string(e.self.ID), "home", h.self, "homes", len(h.ids), "live", len(e.liveEntries()))
 	}
 }
 
+// preferWorkers determines anew which home places on each worker first.
+func (e *Entry) preferWorkers() {
+	for _, id := range e.workerIDs() {
+		w := e.workers[id]
+		w.preferredBy = ""
+		e.indexWorker(w)
+	}
+}
+
+// prefers reports whether this home places tasks on a worker before the others do.
+func (e *Entry) prefers(w *workerView) bool {
+	if e.pol.ShareWorkers || len(e.homes.ids) < 2 {
+		return false
+	}
+	if w.preferredBy == "" {
+		w.preferredBy = EntryID(homes.Preferred(e.homes.ids, string(w.id)))
+	}
+	return w.preferredBy == e.self.ID
+}
+
 // candidateHomes returns the live entries with what decides which of them are homes.
 func (e *Entry) candidateHomes() []homes.Entry {
 	var es []homes.Entry
--- a/core/home_test.go
+++ b/core/home_test.go
@@ -162,3 +162,30 @@
 	h.post(core.CommitAnswered{Token: mustFind[core.Commit](h).Token, Result: table.Result{Committed: true, Revision: h.rev + 1}})
 	assert.Equal(t, mustFind[core.CommandReply](h).Result.Outcome, core.CommandDone)
 }
+
+// Several homes place many tasks at once on a site that is nearly full, by views that are a
+// moment old. If each prefers workers of its own, agents must refuse less than half as many
+// orders for want of room as with the policy before, where all homes chose alike.
+func TestHomesPreferWorkersOfTheirOwn(t *testing.T) {
+	refused := func(share bool) (n int) {
+		for seed := range uint64(4) {
+			p := homePolicy(5)
+			p.ShareWorkers = share
+			short := fake.Work(func(id core.TaskID) time.Duration { return time.Duration(500+id.N*100) * time.Millisecond })
+			w := homeWorld(seed, 9, 40, 5, fake.CoreOptions(core.WithPolicy(p)), short)
+			w.Run(5 * time.Second)
+			for range 30 {
+				for range 6 {
+					w.Do(fake.Submit{Tasks: 8, Steps: true})
+				}
+				w.Run(time.Second)
+			}
+			assert.Equal(t, len(w.Violations()), 0, "%v", w.Violations())
+			n += w.Counts()["restart room"]
+		}
+		return n
+	}
+	before, after := refused(true), refused(false)
+	t.Logf("%d orders refused, before %d", after, before)
+	assert.Assert(t, before > 0 && 2*after < before, "%d orders refused, before %d", after, before)
+}
--- a/core/policy.go
+++ b/core/policy.go
@@ -96,6 +96,7 @@
 	// Baselines to measure against; the zero values are the production policies.
 	Route            route.Policy // how a request's worker is chosen
 	FirstFit         bool         // a task goes to the first worker with room
+	ShareWorkers     bool         // homes prefer no workers of their own
 	EarliestDeadline bool         // tasks are ordered by priority and deadline alone
 	Noise            NoiseMode    // how interference is controlled
 	DrainAtOnce      bool         // an agent stops every task as soon as it learns of a drain
--- a/homes/homes.go
+++ b/homes/homes.go
@@ -16,6 +16,7 @@
 //
 //	ids := homes.Choose(live, 5)
 //	owners := homes.Assign(ids, 32)
+//	first := homes.Preferred(ids, "side-1")
 package homes
 
 import (
@@ -115,22 +116,29 @@
 	most := (shards + len(homes) - 1) / len(homes)
 	owned := map[string]int{}
 	for s := range owners {
-		best := pick(homes, s, func(id string) bool { return owned[id] < most })
+		best := pick(homes, strconv.Itoa(s), func(id string) bool { return owned[id] < most })
 		owners[s] = best
 		owned[best]++
 	}
 	return owners
 }
 
-// pick returns the open home with the highest hash of its id and the shard.
-func pick(homes []string, shard int, open func(string) bool) string {
+// Preferred returns the home that places tasks on a worker before the other homes do; ""
+// if there are no homes. Homes place by views that are a moment old: as long as each finds
+// room on workers that it alone prefers, none claims room that another one has just taken.
+func Preferred(homes []string, worker string) string {
+	return pick(homes, worker, func(string) bool { return true })
+}
+
+// pick returns the open home with the highest hash of its id and the key.
+func pick(homes []string, key string, open func(string) bool) string {
 	var best string
 	var top uint64
 	for _, id := range homes {
 		if !open(id) {
 			continue
 		}
-		h := xxhash.Sum64String(id + "/" + strconv.Itoa(shard))
+		h := xxhash.Sum64String(id + "/" + key)
 		if best == "" || h > top {
 			best, top = id, h
 		}
--- a/place/index.go
+++ b/place/index.go
@@ -31,8 +31,10 @@
 	Role Role
 	// Closed workers are never chosen.
 	Closed bool
-	DC     string
-	Rack   string
+	// Preferred workers are chosen before others, as long as one of them has room.
+	Preferred bool
+	DC        string
+	Rack      string
 }
 
 // Free returns the capacity that no task has reserved.
@@ -62,6 +64,7 @@
 	grids       [views][pools]grid
 	// capacities counts the workers by capacity.
 	capacities map[Size]int
+	preferred  int // number of preferred workers
 	triedDCs   []bool
 }
 
@@ -142,6 +145,8 @@
 	if known && old == w {
 		return
 	}
+	x.countPreferred(&old, -1)
+	x.countPreferred(&w, 1)
 	if !known || old.Capacity != w.Capacity {
 		x.capacities[w.Capacity]++
 		if known {
@@ -177,12 +182,20 @@
 		return
 	}
 	x.deactivate(s)
+	x.countPreferred(&x.workers[s], -1)
 	x.dropCapacity(x.workers[s].Capacity)
 	delete(x.slots, id)
 	x.ids[s], x.workers[s], x.locations[s] = "", Worker{}, location{}
 	x.freeSlots = append(x.freeSlots, s)
 }
 
+// countPreferred adds n to the number of preferred workers if the worker is one.
+func (x *Index) countPreferred(w *Worker, n int) {
+	if w.Preferred {
+		x.preferred += n
+	}
+}
+
 // Get returns the worker; ok is false if the id is unknown.
 func (x *Index) Get(id string) (w Worker, ok bool) {
 	s, ok := x.slots[id]
--- a/place/pick.go
+++ b/place/pick.go
@@ -42,6 +42,9 @@
 	// total. An exhaustive search follows only if it finds nothing.
 	visitsPerTree   = 64
 	visitsPerSearch = 512
+	// visitsForPreferred limits the search for a preferred worker: on a large site,
+	// another one is better than a long search.
+	visitsForPreferred = 2048
 )
 
 // Pick returns an open worker with room for the need. It reports false only
@@ -61,8 +64,23 @@
 	return x.pick(&n, seed, viewSlack)
 }
 
+// pick chooses among the preferred workers first, unless the task preempts: then all of
+// them are compared by how much has to be preempted.
 func (x *Index) pick(n *Need, seed uint64, v view) (id string, ok bool) {
-	s := search{x: x, need: n, view: v, rng: seed, best: none, cell: cellOf(n.Size)}
+	if v != viewPreempt {
+		if id, ok := x.pickAmong(n, seed, v, true); ok {
+			return id, true
+		}
+	}
+	return x.pickAmong(n, seed, v, false)
+}
+
+// pickAmong chooses among the preferred workers alone, or among all.
+func (x *Index) pickAmong(n *Need, seed uint64, v view, preferred bool) (id string, ok bool) {
+	if preferred && x.preferred == 0 {
+		return "", false
+	}
+	s := search{preferred: preferred, x: x, need: n, view: v, rng: seed, best: none, cell: cellOf(n.Size)}
 	if n.Owner != "" {
 		s.owner = x.owners[n.Owner]
 	}
@@ -88,6 +106,8 @@
 	owner *owner
 	rng   uint64
 
+	preferred bool // only preferred workers are considered
+
 	best     int32 // slot, or none
 	bestCost float64
 	fits     int // workers found that fit
@@ -240,6 +260,9 @@
 func (s *search) searchAll() {
 	const unlimited = 1 << 60
 	s.visits, s.maxFits = unlimited, 1
+	if s.preferred {
+		s.visits = visitsForPreferred
+	}
 	for _, p := range s.pools() {
 		g := &s.x.grids[s.view][p]
 		for used := levelsFrom(g.used, s.cell.row); used != 0 && s.best == none; used &= used - 1 {
@@ -296,6 +319,9 @@
 // consider evaluates the worker and keeps it as the best if it fits, is not
 // excluded and has the lowest cost so far.
 func (s *search) consider(slot int32) {
+	if s.preferred && !s.x.workers[slot].Preferred {
+		return
+	}
 	if !s.need.Size.Fits(s.x.room(slot, s.view)) {
 		return
 	}
