--- a/core/agentpeer.go
+++ b/core/agentpeer.go
@@ -29,7 +29,7 @@
 	namedTimeout = 2 * time.Second
 	// reportInterval is the minimum time between two heartbeats to an entry that report
 	// changes of tasks which other entries have ordered.
-	reportInterval = 300 * time.Millisecond
+	reportInterval = 100 * time.Millisecond
 )
 
 // advanceHeartbeats sends a heartbeat to each entry that is due one.
--- a/core/entrycolocate.go
+++ b/core/entrycolocate.go
@@ -90,6 +90,7 @@
 	var best string
 	var least int
 	need.Constraint, need.Spread = place.ServingOnly, false
+	need.Shared = true // its image matters more than a refusal
 	for id := range candidates(e.index.Pick, need, seed, maxCandidates) {
 		others := e.workers[WorkerID(id)].otherImages(image)
 		if others == 0 {
--- a/place/pick.go
+++ b/place/pick.go
@@ -16,6 +16,8 @@
 	Exclude []string
 	// Constraint restricts the choice by the workers' role.
 	Constraint Constraint
+	// Shared chooses among all workers alike, preferred or not.
+	Shared bool
 	// Owner names the job whose tasks Assign and Unassign count.
 	Owner string
 }
@@ -64,10 +66,11 @@
 	return x.pick(&n, seed, viewSlack)
 }
 
-// pick chooses among the preferred workers first, unless the task preempts: then all of
-// them are compared by how much has to be preempted.
+// pick chooses among the preferred workers first if the task takes free capacity. Workers
+// to preempt on are compared by how much has to be preempted, and best-effort tasks, which
+// reserve no processors, are spread over all.
 func (x *Index) pick(n *Need, seed uint64, v view) (id string, ok bool) {
-	if v != viewPreempt {
+	if v == viewFree && !n.Shared {
 		if id, ok := x.pickAmong(n, seed, v, true); ok {
 			return id, true
 		}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -323,26 +323,32 @@
 // A preferred worker is chosen before others as long as it has room, also by spread
 // placement; a task that preempts compares all of them.
 func TestPreferredWorkersFirst(t *testing.T) {
-	var x place.Index
-	size := place.Size{Millicores: 1000, MemoryMB: 1000}
+	var x Index
+	size := Size{Millicores: 1000, MemoryMB: 1000}
 	for i := range 20 {
-		x.Set(fmt.Sprintf("w%02d", i), place.Worker{
-			DC: fmt.Sprint("d", i%2), Capacity: place.Size{Millicores: 2000, MemoryMB: 2000}, Preferred: i == 7,
+		x.Set(fmt.Sprintf("w%02d", i), Worker{
+			DC: fmt.Sprint("d", i%2), Capacity: Size{Millicores: 2000, MemoryMB: 2000}, Preferred: i == 7,
 		})
 	}
 	for _, spread := range []bool{false, true} {
 		for seed := range uint64(50) {
-			id, ok := x.Pick(place.Need{Size: size, Spread: spread}, seed)
+			id, ok := x.Pick(Need{Size: size, Spread: spread}, seed)
 			assert.Assert(t, ok)
 			assert.Equal(t, id, "w07", "spread %v", spread)
 		}
 	}
+	chosen := map[string]bool{}
+	for seed := range uint64(50) {
+		id, _ := x.Pick(Need{Size: size, Shared: true, Spread: true}, seed)
+		chosen[id] = true
+	}
+	assert.Assert(t, len(chosen) > 1, "a shared need is placed on %v only", chosen)
 	full, _ := x.Get("w07")
 	full.Committed = full.Capacity
 	x.Set("w07", full)
-	id, ok := x.Pick(place.Need{Size: size}, 1)
+	id, ok := x.Pick(Need{Size: size}, 1)
 	assert.Assert(t, ok && id != "w07", "%s", id)
 	x.Remove("w07")
-	_, ok = x.Pick(place.Need{Size: size}, 1)
+	_, ok = x.Pick(Need{Size: size}, 1)
 	assert.Assert(t, ok)
 }
