--- a/core/fuzz_test.go
+++ b/core/fuzz_test.go
@@ -202,7 +202,7 @@
 	if testing.Short() {
 		t.Skip("slow under the race detector, which has nothing to detect in one goroutine")
 	}
-	const seeds = 400
+	const seeds = 600
 	for _, name := range core.Guards {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
