--- a/homes/homes.go
+++ b/homes/homes.go
@@ -45,14 +45,19 @@
 	// minStrong is the number of strong entries that are enough without weaker ones: a
 	// weak home would slow the shards that it owns.
 	minStrong = 2
+	// minMillicores is the processor time that the homes have together at least, as far as
+	// there is so much: weak entries need more homes.
+	minMillicores = 1500
 )
 
-// Choose returns the ids of up to n homes among the live entries, in order. It prefers strong entries, then an even spread over data centres, then those
+// Choose returns the ids of the homes among the live entries, in order: up to n, or more if
+// these have less than minMillicores together. It prefers strong entries, then an even spread over data centres, then those
 // that joined first.
 func Choose(live []Entry, n int) []string {
 	if len(live) <= n {
 		return ids(live)
 	}
+	n = max(n, enough(live))
 	strong, weak := split(live)
 	if len(strong) >= minStrong {
 		return ids(spread(strong, n))
@@ -61,6 +66,23 @@
 	return ids(append(chosen, spread(weak, n-len(chosen))...))
 }
 
+// enough returns the number of the largest entries that have minMillicores together; zero
+// if the processor time of some is not known.
+func enough(live []Entry) int {
+	es := slices.Clone(live)
+	slices.SortFunc(es, Entry.compare)
+	var sum int64
+	for i, e := range es {
+		if sum += e.Millicores; sum >= minMillicores {
+			return i + 1
+		}
+		if e.Millicores == 0 {
+			return 0
+		}
+	}
+	return len(es)
+}
+
 // split separates strong entries from weak ones.
 func split(live []Entry) (strong, weak []Entry) {
 	var most int64
