core: log what bounds a run that is recorded as ended

Change: run ended names the ages of launch, last inspection, the task's deadline and the latest deadline sent to the worker.

--- a/core/agent.go
+++ b/core/agent.go
@@ -41,7 +41,9 @@
 	startedAt time.Time // when this process started
 	joinedAt  time.Time // when this incarnation began or was adopted
 	fenced    bool
-	dead      map[Incarnation]bool // earlier incarnations that this agent confirms to be dead
+	// grantedUntil is the latest deadline that a call to the worker has carried.
+	grantedUntil time.Time
+	dead         map[Incarnation]bool // earlier incarnations that this agent confirms to be dead
 
 	config confView
 	peers  map[netip.AddrPort]*entryPeer
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -164,7 +164,7 @@
 		}
 	}
 	if len(ts) > 0 {
-		a.emit(Renew{Attempts: ts, Deadline: a.leaseEnd()})
+		a.emitRenew(ts)
 	}
 }
 
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -204,6 +204,7 @@
 		}
 		t.launched, t.launchedAt = true, a.at.Now
 		t.deadline = earliest(a.leaseEnd(), a.permitEnd(t.order))
+		a.grantedUntil = latest(a.grantedUntil, t.deadline)
 		a.emit(Launch{Order: t.order, Deadline: t.deadline})
 		if t.order.Isolated {
 			a.nextInspect = earliest(a.nextInspect, a.at.Now.Add(stopInspectInterval))
@@ -287,7 +288,13 @@
 		return
 	}
 	t.extend(a.leaseEnd())
-	a.emit(Renew{Attempts: []Attempt{t.order.Attempt}, Deadline: a.leaseEnd()})
+	a.emitRenew([]Attempt{t.order.Attempt})
+}
+
+// emitRenew extends the deadlines of tasks at the worker to the end of the lease.
+func (a *Agent) emitRenew(ts []Attempt) {
+	a.grantedUntil = latest(a.grantedUntil, a.leaseEnd())
+	a.emit(Renew{Attempts: ts, Deadline: a.leaseEnd()})
 }
 
 // stopPending reports whether a recent stop has not taken effect yet.
@@ -349,7 +356,9 @@
 // of no use, unless the task is done: an entry records that as long as the claim stands.
 func (a *Agent) recordEnd(t *heldTask, e End) {
 	delete(a.held, t.order.Attempt.Task)
-	a.logEvent("run ended", e.Attempt.String(), "kind", string(e.Kind), "reason", e.Reason, "moved", t.moved)
+	a.logEvent("run ended", e.Attempt.String(), "kind", string(e.Kind), "reason", e.Reason, "moved", t.moved,
+		"listed", t.listed, "launched", a.since(t.launchedAt), "inspected", a.since(a.inspectedAt),
+		"deadline", a.since(t.deadline), "granted", a.since(a.grantedUntil))
 	a.updateUsageRatio(t)
 	if t.moved && e.Kind != EndDone {
 		return
@@ -362,6 +371,14 @@
 	a.reportChange(t.order.By)
 }
 
+// since returns how long before now a time was, for logs; empty for a zero time.
+func (a *Agent) since(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return a.at.Now.Sub(t).Round(time.Millisecond).String()
+}
+
 // advanceCheckpoints orders the periodic checkpoints.
 func (a *Agent) advanceCheckpoints() {
 	for _, t := range a.heldByUnsavedWork() {
