core: void unanswered calls to the worker before their tasks move

Callers saw tasks run twice: two runs at the same time, or a second one after the first was done. Cause: the agent took what its worker did not answer for not done. A stopped or unconfirmed task kept the deadline of its launch on record, while starts and inspections for other tasks extended the worker's one lease; a late extension, whose time counts from its arrival, a late start, and a call that reached a new boot before the agent knew of it were not considered. Change: calls carry an epoch, which is raised once a call got no answer; a worker that has answered an inspection of an epoch carries out no earlier call, so its lists settle them (fencing tokens on the platform). The first lists of a boot or for a new process come with a higher token than all earlier calls. A void start is sent again within its permit; unanswered stops and speeds are sent again. A silent worker's tasks are lost only after the latest deadline that any call carried and the time that a call may be late. A run that is done still counts after it was reported as lost, unless it was started again.

--- a/core/agent.go
+++ b/core/agent.go
@@ -41,6 +41,7 @@
 	startedAt time.Time // when this process started
 	joinedAt  time.Time // when this incarnation began or was adopted
 	fenced    bool
+	calls     callEpochs
 	// grantedUntil is the latest deadline that a call to the worker has carried.
 	grantedUntil time.Time
 	dead         map[Incarnation]bool // earlier incarnations that this agent confirms to be dead
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -92,11 +92,16 @@
 		if !ok || t.order.Attempt != th.Attempt || !t.started || t.stopping != "" || t.percent == th.Percent {
 			continue
 		}
-		t.percent = th.Percent
-		a.emit(Control{Attempt: th.Attempt, Verb: VerbThrottle, Percent: th.Percent})
+		a.setSpeed(t, th.Percent)
 	}
 }
 
+// setSpeed sets the speed of a task in percent of full speed.
+func (a *Agent) setSpeed(t *heldTask, percent int) {
+	t.percent, t.speedUnconfirmed = percent, false
+	a.emit(Control{Attempt: t.order.Attempt, Verb: VerbThrottle, Percent: percent, Epoch: a.calls.current})
+}
+
 // handleHeartbeatAnswered applies an entry's answer.
 func (a *Agent) handleHeartbeatAnswered(ev HeartbeatAnswered) {
 	p, ok := a.peers[ev.Entry]
--- /dev/null
+++ b/core/agentepoch.go
@@ -0,0 +1,36 @@
+package core
+
+// callEpochs numbers the agent's calls to its worker. If Policy.FencedCalls is set, the worker
+// carries out no call of an epoch below the highest that it has seen. An inspection that it
+// answers therefore settles all calls of earlier epochs: they have taken effect by then and
+// its lists show it, or they never will.
+type callEpochs struct {
+	current    uint64 // of calls sent now
+	unanswered bool   // a call of the current epoch got no answer
+	inspection uint64 // of the latest inspection
+	settled    uint64 // calls of lower epochs are settled
+}
+
+// noteUnanswered records that a call got no answer: it may take effect later.
+func (c *callEpochs) noteUnanswered(epoch uint64) {
+	c.unanswered = c.unanswered || epoch == c.current
+}
+
+// beginInspection sets the epoch of the next inspection, a new one if there are calls to
+// settle.
+func (c *callEpochs) beginInspection() {
+	if c.unanswered {
+		c.current++
+		c.unanswered = false
+	}
+	c.inspection = c.current
+}
+
+// endInspection records that the worker has answered the latest inspection.
+func (c *callEpochs) endInspection() { c.settled = c.inspection }
+
+// isSettled reports whether a call of an epoch can take no effect any more.
+func (c *callEpochs) isSettled(epoch uint64) bool { return epoch < c.settled }
+
+// allSettled reports whether each call that got no answer is settled.
+func (c *callEpochs) allSettled() bool { return !c.unanswered && c.settled == c.current }
--- a/core/agentevent.go
+++ b/core/agentevent.go
@@ -10,7 +10,9 @@
 // AgentEvent is an input of an agent's reducer.
 type AgentEvent interface{ agentEvent() }
 
-// Inspected is the answer to an Inspect: the state of the worker and its tasks.
+// Inspected is the answer to an Inspect: the state of the worker and its tasks. If
+// Policy.FencedCalls is set, no call to an earlier boot of the worker and none of an earlier
+// process of the agent can take effect any more.
 type Inspected struct {
 	Fault    Fault
 	Boot     string
@@ -18,6 +20,8 @@
 	Slots    int
 	Services []string
 	Tasks    []WorkerTask
+	// Partial says that Tasks may lack some of the worker's tasks.
+	Partial bool
 	// Draining says that the worker will leave and accepts no new work.
 	Draining bool
 	// Rack and Labels are as the worker reports them. If Rack is empty, that of
@@ -95,18 +99,23 @@
 // Launched is the worker's answer to a Launch.
 type Launched struct {
 	Attempt Attempt
+	Epoch   uint64 // of the Launch
 	Started bool
 	Reason  string
 	// Retryable says that the task was not at fault for the refusal and may be
 	// tried again.
 	Retryable bool
-	Fault     Fault
+	// Superseded says that the worker has done nothing, since it has seen a call of a
+	// later epoch.
+	Superseded bool
+	Fault      Fault
 }
 
 // Controlled is the worker's answer to a Control.
 type Controlled struct {
 	Attempt Attempt
 	Verb    Verb
+	Epoch   uint64 // of the Control
 	Done    bool
 	Fault   Fault
 }
--- a/core/agentincarnation.go
+++ b/core/agentincarnation.go
@@ -26,6 +26,7 @@
 		return false
 	}
 	a.ready, a.joinedAt = true, a.at.Now
+	a.grantedUntil = a.at.Now.Add(a.pol.Lease) // by an earlier process
 	if a.inc == "" {
 		a.newIncarnation()
 	}
@@ -36,6 +37,9 @@
 // launchesSettled reports whether every launch by an earlier agent process on this
 // VM has either reached the worker or is past its permit.
 func (a *Agent) launchesSettled() bool {
+	if a.pol.FencedCalls {
+		return a.ready
+	}
 	return a.at.Now.After(a.startedAt.Add(a.pol.Permit + a.pol.Drift))
 }
 
@@ -104,13 +108,16 @@
 }
 
 // markStale marks the tasks of the former boot that the new one runs, or may yet run
-// since their launches are in flight.
+// since their launches are in flight and the worker does not fence them.
 func (a *Agent) markStale(tasks []WorkerTask) {
 	for _, w := range tasks {
 		if t := a.held[w.Attempt.Task]; t != nil && t.order.Attempt == w.Attempt {
 			t.stale, t.listed = true, true
 		}
 	}
+	if a.pol.FencedCalls {
+		return
+	}
 	for _, t := range a.held {
 		t.stale = t.stale || t.launched && !t.started && t.launchLostAt.IsZero()
 	}
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -19,10 +19,13 @@
 		a.nextInspect = a.at.Now.Add(stopInspectInterval)
 	}
 	a.inspectUntil = time.Time{}
-	if a.pol.InspectWait > 0 {
+	if a.pol.FencedCalls {
+		a.calls.beginInspection()
+	}
+	if a.pol.InspectWait > 0 && a.calls.allSettled() {
 		a.inspectUntil = a.at.Now.Add(a.pol.InspectWait)
 	}
-	a.emit(Inspect{Until: a.inspectUntil})
+	a.emit(Inspect{Until: a.inspectUntil, Epoch: a.calls.inspection})
 }
 
 // handleInspected updates the agent from an inspection. The first one determines
@@ -30,12 +33,16 @@
 func (a *Agent) handleInspected(ev Inspected) {
 	a.inspecting = false
 	if ev.Fault != FaultNone {
+		a.calls.noteUnanswered(a.calls.inspection)
 		a.count("inspect", ReasonWorker)
 		a.inspectFaults++
 		a.noteInspectFailed()
 		a.handleWorkerLost()
 		return
 	}
+	if !ev.Partial {
+		a.calls.endInspection()
+	}
 	reboot := a.ready && ev.Boot != a.boot
 	a.boot = ev.Boot
 	if reboot {
@@ -52,7 +59,7 @@
 	if !a.ready && !a.join(ev.Tasks) {
 		return
 	}
-	a.reconcileTasks(ev.Tasks)
+	a.reconcileTasks(ev)
 }
 
 // handleWorkerResized applies a capacity that the worker has reported since the last
--- a/core/agentpace.go
+++ b/core/agentpace.go
@@ -153,14 +153,14 @@
 	}
 	a.logEvent("filler paced", t.order.Attempt.String(), "percent", percent, "was", pace.FullSpeed-t.throttledBy,
 		"image", t.order.Class, "use", t.utilization, "press", interferenceOf(a.interference, t.order.Class), "tails", a.pace.TailRatios())
-	t.percent, t.throttledBy, t.pacedAt = percent, pace.FullSpeed-percent, a.at.Now
+	t.throttledBy, t.pacedAt = pace.FullSpeed-percent, a.at.Now
 	switch {
 	case percent > slowPercent:
 		t.slowSince = time.Time{}
 	case t.slowSince.IsZero():
 		t.slowSince = a.at.Now
 	}
-	a.emit(Control{Attempt: t.order.Attempt, Verb: VerbThrottle, Percent: percent})
+	a.setSpeed(t, percent)
 }
 
 const (
--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -6,12 +6,22 @@
 )
 
 // reconcileTasks compares the held tasks with those that the worker lists.
-func (a *Agent) reconcileTasks(tasks []WorkerTask) {
+func (a *Agent) reconcileTasks(ev Inspected) {
 	a.used, a.unmanaged = Size{}, Size{}
-	for _, w := range tasks {
+	for _, w := range ev.Tasks {
 		a.used = a.used.Plus(w.Used)
 		a.reconcileTask(w)
 	}
+	if !ev.Partial {
+		a.reconcileUnlisted(ev.Tasks)
+	}
+	a.makeRoom()
+	a.paceBestEffort()
+	a.rejoin()
+}
+
+// reconcileUnlisted handles the held tasks that are not among those that the worker lists.
+func (a *Agent) reconcileUnlisted(tasks []WorkerTask) {
 	listed := make(map[Attempt]bool, len(tasks))
 	for _, w := range tasks {
 		listed[w.Attempt] = true
@@ -21,9 +31,6 @@
 			a.handleUnlisted(t)
 		}
 	}
-	a.makeRoom()
-	a.paceBestEffort()
-	a.rejoin()
 }
 
 // reconcileTask matches one task that the worker lists with the held ones. A
@@ -52,6 +59,9 @@
 	t.peakUsage = t.peakUsage.Max(w.Used)
 	t.savedAt = latest(t.savedAt, w.Checkpointed)
 	t.saved = cmp.Or(w.Saved, t.saved)
+	if t.speedUnconfirmed && t.stopping == "" {
+		a.setSpeed(t, t.percent)
+	}
 	if t.stopping != "" && a.at.Now.Sub(t.stopSentAt) >= stopRetryInterval {
 		a.stop(t, t.stopping, "again")
 	}
@@ -73,16 +83,18 @@
 		}
 		return
 	}
-	if _, ok := a.ends[w.Attempt]; ok {
+	done := w.End.Kind == EndDone
+	if known, ok := a.ends[w.Attempt]; ok && (known.Kind == EndDone || !done) {
 		return
 	}
-	if !a.isOwn(w) || a.wasRecorded(w.Attempt) {
+	if !a.isOwn(w) || a.wasRecorded(w.Attempt) && !done {
 		a.emit(Control{Attempt: w.Attempt, Verb: VerbForget})
 		return
 	}
+	// A run that is done may have been reported as lost before.
 	e := w.End
 	e.Attempt, e.Started = w.Attempt, true
-	a.ends[w.Attempt] = e
+	a.ends[w.Attempt], a.lateEnds[w.Attempt] = e, a.at.Now
 }
 
 // isOwn reports whether a task was started by this incarnation, as far as the
@@ -103,27 +115,36 @@
 	case !t.launched:
 	case t.listed:
 		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "vanished from its worker"})
-	case a.pol.StopUnanswered:
+	case a.pol.FencedCalls:
 		a.settleLaunch(t)
 	case a.at.Now.After(t.deadline.Add(a.pol.Drift)):
 		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "never seen at its worker"})
 	}
 }
 
-// settleLaunch settles a launch whose task the worker does not list and that may
-// still be in flight. A stop makes the worker refuse the launch from then on; an
-// inspection sent after the stop was accepted shows whether the task ran
-// nonetheless.
+// settleLaunch settles a launch whose task the worker does not list, once it can take no
+// effect any more.
 func (a *Agent) settleLaunch(t *heldTask) {
-	overdue := a.at.Now.After(t.deadline.Add(a.pol.Drift))
 	switch {
-	case !t.stopAcceptedAt.IsZero() && a.inspectStartedAt.After(t.stopAcceptedAt):
-		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "start unanswered, then stopped"})
-	case t.stopping == "" && (overdue || !t.launchLostAt.IsZero() && a.inspectStartedAt.After(t.launchLostAt)):
-		a.stop(t, EndEvicted, "start unanswered")
-	case t.stopping != "" && t.stopAcceptedAt.IsZero() && a.at.Now.Sub(t.stopSentAt) >= stopRetryInterval:
-		a.stop(t, t.stopping, "again")
+	case !a.calls.isSettled(t.epoch):
+	case t.started:
+		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "vanished from its worker"})
+	default:
+		a.undoLaunch(t)
+	}
+}
+
+// undoLaunch takes back a launch that has had no effect and never will. The task is launched
+// again within its permit, unless it is to stop.
+func (a *Agent) undoLaunch(t *heldTask) {
+	a.logEvent("start void", t.order.Attempt.String(), "epoch", t.epoch, "stopping", string(t.stopping))
+	t.launched = false
+	if t.stopping == "" {
+		return
 	}
+	kind := t.stopping
+	t.stopping = ""
+	a.stop(t, kind, "never started")
 }
 
 // workerTimeout is the time without a successful inspection after which the leases
@@ -135,10 +156,19 @@
 // agent itself was paused.
 const lostInspectFaults = 3
 
-// maxLaunchDelay is how long after its deadline a worker may still carry out a
-// launch whose answer was lost: the platform delivers orders up to 12 s late. A
-// task that the worker has listed can no longer be started by a delayed order.
-const maxLaunchDelay = 13 * time.Second
+// maxCallDelay is how late a worker may carry out a call that it has not answered, and the
+// time of the deadline that the call carries may count from then on. The platform delivers
+// calls up to 12 s late.
+const maxCallDelay = 13 * time.Second
+
+// runsUntil returns the time until which the worker may run a task if it carries out all
+// calls in time.
+func (a *Agent) runsUntil(t *heldTask) time.Time {
+	if a.pol.FencedCalls {
+		return a.grantedUntil
+	}
+	return t.deadline
+}
 
 // workerDown reports whether the last call to the worker failed. It may be for a moment only,
 // but an order that another worker can take should not wait for that.
@@ -149,17 +179,16 @@
 	return a.ready && a.at.Now.Sub(a.inspectedAt) > workerTimeout
 }
 
-// handleWorkerLost records the tasks of a worker that does not answer as lost.
-// Their leases were not renewed, so the worker itself has paused them at their
-// deadlines.
+// handleWorkerLost records the tasks of a worker that does not answer as lost, once it has
+// ended or paused them by itself since their leases were not renewed.
 func (a *Agent) handleWorkerLost() {
 	if !a.workerUnresponsive() || a.inspectFaults < lostInspectFaults {
 		return
 	}
 	for _, t := range a.heldByUnsavedWork() {
-		lostAfter := t.deadline.Add(a.pol.Drift)
-		if a.pol.StopUnanswered && !t.listed {
-			lostAfter = lostAfter.Add(maxLaunchDelay)
+		lostAfter := a.runsUntil(t).Add(a.pol.Drift)
+		if a.pol.FencedCalls {
+			lostAfter = lostAfter.Add(maxCallDelay)
 		}
 		if t.launched && a.at.Now.After(lostAfter) {
 			a.lost = append(a.lost, t)
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -16,23 +16,26 @@
 	listed         bool      // the worker has listed it
 	started        bool      // the worker has confirmed the launch, or listed it
 	launchLostAt   time.Time // when the answer to the launch was lost; zero if it arrived
+	epoch          uint64    // of the launch, see Policy.FencedCalls
 	stopAcceptedAt time.Time // when the worker accepted a stop; zero if it has not
 	deadline       time.Time
 	stopping       EndKind
 	stopSentAt     time.Time
-	evictAt        time.Time     // when a drain evicts it; zero if there is none
-	savedAt        time.Time     // last checkpoint, or the start
-	saved          string        // name of the newest checkpoint, if the worker names one
-	percent        int           // of full speed; zero if never changed
-	throttledBy    int           // of a best-effort task: full speed less its speed, in percent
-	paced          bool          // a best-effort task has got its first speed
-	pacedAt        time.Time     // last change of a best-effort task's speed
-	slowSince      time.Time     // since when a best-effort task is slowed; zero if it is not
-	usedMillicores int64         // as last measured by the worker
-	utilization    float64       // see pace.Load
-	moved          bool          // its claim was moved: its end is not reported
-	expectedSize   Size          // from the usage ratio of its class
-	tailLatency    time.Duration // of a long-running task, as last measured by the worker
+	evictAt        time.Time // when a drain evicts it; zero if there is none
+	savedAt        time.Time // last checkpoint, or the start
+	saved          string    // name of the newest checkpoint, if the worker names one
+	percent        int       // of full speed; zero if never changed
+	// speedUnconfirmed says that the worker has not answered a change of the speed.
+	speedUnconfirmed bool
+	throttledBy      int           // of a best-effort task: full speed less its speed, in percent
+	paced            bool          // a best-effort task has got its first speed
+	pacedAt          time.Time     // last change of a best-effort task's speed
+	slowSince        time.Time     // since when a best-effort task is slowed; zero if it is not
+	usedMillicores   int64         // as last measured by the worker
+	utilization      float64       // see pace.Load
+	moved            bool          // its claim was moved: its end is not reported
+	expectedSize     Size          // from the usage ratio of its class
+	tailLatency      time.Duration // of a long-running task, as last measured by the worker
 }
 
 // adoptedTask returns a task that an earlier run of the agent started. Only an
@@ -202,10 +205,10 @@
 		if !a.fitsNow(t) || !a.leaseEnd().After(a.at.Now) {
 			continue
 		}
-		t.launched, t.launchedAt = true, a.at.Now
+		t.launched, t.launchedAt, t.epoch = true, a.at.Now, a.calls.current
 		t.deadline = earliest(a.leaseEnd(), a.permitEnd(t.order))
 		a.grantedUntil = latest(a.grantedUntil, t.deadline)
-		a.emit(Launch{Order: t.order, Deadline: t.deadline})
+		a.emit(Launch{Order: t.order, Deadline: t.deadline, Epoch: t.epoch, Boot: a.boot})
 		if t.order.Isolated {
 			a.nextInspect = earliest(a.nextInspect, a.at.Now.Add(stopInspectInterval))
 		}
@@ -240,17 +243,27 @@
 	return sum.Fits(a.capacity)
 }
 
+// isLaunchedBy reports whether an answer is that to the task's latest launch.
+func (t *heldTask) isLaunchedBy(ev Launched) bool {
+	return t != nil && t.launched && t.order.Attempt == ev.Attempt && t.epoch == ev.Epoch
+}
+
 // handleLaunched handles the worker's answer to a Launch. A lost answer is settled
-// by the next inspection, or by the launch's deadline.
+// by a later inspection, or by the launch's deadline.
 func (a *Agent) handleLaunched(ev Launched) {
-	t, ok := a.held[ev.Attempt.Task]
-	if !ok || t.order.Attempt != ev.Attempt {
+	if ev.Fault == FaultNoAnswer {
+		a.calls.noteUnanswered(ev.Epoch)
+	}
+	t := a.held[ev.Attempt.Task]
+	if !t.isLaunchedBy(ev) {
 		return
 	}
 	if ev.Fault != FaultNone {
 		a.noteWorkerDown(t.launchedAt, t.launchedAt)
 	}
 	switch {
+	case ev.Superseded && ev.Epoch != a.calls.current:
+		a.undoLaunch(t)
 	case ev.Fault == FaultNoAnswer:
 		a.count("launch", ReasonCut)
 		a.logEvent("start unanswered", ev.Attempt.String())
@@ -333,22 +346,31 @@
 // stopAtWorker orders the worker to stop an attempt.
 func (a *Agent) stopAtWorker(t Attempt, kind EndKind, reason string) {
 	a.logEvent("run stopped", t.String(), "kind", string(kind), "reason", reason)
-	a.emit(Control{Attempt: t, Verb: VerbStop, Kind: kind, Reason: reason})
+	a.emit(Control{Attempt: t, Verb: VerbStop, Kind: kind, Reason: reason, Epoch: a.calls.current})
 }
 
 // handleControlled handles the worker's answer to a Control. It inspects the
 // worker again after a stop.
 func (a *Agent) handleControlled(ev Controlled) {
+	if ev.Fault == FaultNoAnswer {
+		a.calls.noteUnanswered(ev.Epoch)
+	}
 	if ev.Verb == VerbStop && ev.Fault == FaultNone && !a.inspecting {
 		a.inspect()
 	}
-	if t := a.held[ev.Attempt.Task]; ev.Verb == VerbStop && ev.Done && t != nil && t.order.Attempt == ev.Attempt {
-		t.stopAcceptedAt = a.at.Now
+	t, ok := a.held[ev.Attempt.Task]
+	if !ok || t.order.Attempt != ev.Attempt {
+		return
 	}
-	if ev.Verb == VerbCheckpoint && ev.Done {
-		if t, ok := a.held[ev.Attempt.Task]; ok && t.order.Attempt == ev.Attempt {
-			t.savedAt = a.at.Now
-		}
+	switch {
+	case ev.Verb == VerbStop && ev.Done:
+		t.stopAcceptedAt = a.at.Now
+	case ev.Verb == VerbStop && ev.Fault == FaultNoAnswer:
+		t.stopSentAt = time.Time{} // to be sent again
+	case ev.Verb == VerbThrottle && ev.Fault == FaultNoAnswer:
+		t.speedUnconfirmed = true
+	case ev.Verb == VerbCheckpoint && ev.Done:
+		t.savedAt = a.at.Now
 	}
 }
 
--- a/core/edit.go
+++ b/core/edit.go
@@ -142,9 +142,29 @@
 	return end.Kind == EndCrashed && !t.State.Final() && !slices.Contains(t.CrashedIn, end.Attempt.Number)
 }
 
-// applyLate applies the end of an attempt that no longer holds the claim: only a crash still
-// counts.
+// lacksCompletion reports whether a task waits to run again though the end says that its
+// last attempt is done. Its agent may have reported it as lost before it learnt that.
+func (r *JobRow) lacksCompletion(end End) bool {
+	n := end.Attempt.Task.N
+	t := &r.Tasks[n]
+	return end.Kind == EndDone && t.State == TaskWaiting && t.Attempt == end.Attempt.Number && !r.Spec.Step(n).LongRunning
+}
+
+// isOver reports whether an attempt no longer holds the claim of its task, and its end changes
+// nothing any more.
+func (r *JobRow) isOver(end End) bool {
+	t := &r.Tasks[end.Attempt.Task.N]
+	return t.isPast(end.Attempt.Number) && !t.lacksCrash(end) && !r.lacksCompletion(end)
+}
+
+// applyLate applies the end of an attempt that no longer holds the claim: only a crash, and
+// the completion of a task that has not been started again, still count.
 func (ed endEdit) applyLate(r *JobRow, t *TaskRow) editResult {
+	if r.lacksCompletion(ed.end) {
+		t.State, t.Reason, t.Output = TaskDone, ed.end.Reason, ed.end.Output
+		r.Started = true
+		return editApplied
+	}
 	if !t.lacksCrash(ed.end) {
 		return editRedundant
 	}
--- a/core/effect.go
+++ b/core/effect.go
@@ -182,6 +182,7 @@
 // Inspected, by the time Until or as soon as a task has ended.
 type Inspect struct {
 	Until time.Time // zero: answer at once
+	Epoch uint64    // see Policy.FencedCalls
 }
 
 // ReadEntries reads the rows of all entries from the table, for an agent that no
@@ -192,6 +193,8 @@
 type Launch struct {
 	Order    Order
 	Deadline time.Time // on the worker's clock; the worker pauses the task then unless it is renewed
+	Epoch    uint64    // see Policy.FencedCalls
+	Boot     string    // the worker's boot that it is meant for, as of the last inspection
 }
 
 // Renew extends the deadlines of tasks at the worker.
@@ -218,6 +221,7 @@
 	Percent int     // of full speed; with VerbThrottle
 	Kind    EndKind // with VerbStop
 	Reason  string
+	Epoch   uint64 // see Policy.FencedCalls
 }
 
 // Call runs a request at the worker's endpoint. It comes back as Called.
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -298,7 +298,7 @@
 		return
 	}
 	row := &j.row.Tasks[t.Task.N]
-	if row.isPast(t.Number) && !row.lacksCrash(end) {
+	if j.row.isOver(end) {
 		delete(w.orphanEnds, t)
 		ans.Recorded = append(ans.Recorded, t)
 		return
@@ -391,14 +391,13 @@
 		o.over = true // the job has ended and its row is deleted
 		return
 	}
-	row := &j.row.Tasks[t.Task.N]
-	o.over = row.isPast(t.Number) && !row.lacksCrash(q.end)
+	o.over = j.row.isOver(q.end)
 	if q.end.Kind == "" { // still running: reconcileRunning decides by the job's row
 		delete(q.w.orphanEnds, t)
 		e.dropForeignJob(j)
 		return
 	}
-	if !o.over && row.Attempt >= t.Number {
+	if !o.over && j.row.Tasks[t.Task.N].Attempt >= t.Number {
 		e.addEdit(j, endEdit{end: q.end, worker: q.w.id})
 	}
 	e.dropForeignJob(j)
--- a/core/policy.go
+++ b/core/policy.go
@@ -86,9 +86,10 @@
 	// FindEntries makes an agent that gets no answer from any entry read the rows of
 	// the entries from the table.
 	FindEntries bool
-	// StopUnanswered resolves an unanswered start by a stop, for workers that may
-	// execute a start order long after the call has timed out.
-	StopUnanswered bool
+	// FencedCalls says that the worker keeps one lease for all of its tasks, may carry out
+	// a call long after it has timed out, and carries out none of an epoch below the highest
+	// that it has seen.
+	FencedCalls bool
 	// KeepTasks leaves tasks running when an agent is stopped gracefully: the agent's
 	// next process takes them over.
 	KeepTasks bool
@@ -169,9 +170,9 @@
 
 // WithUnreportedIncarnations configures an agent for workers whose task lists don't
 // name the incarnation that started a task. It sets Policy.IncFromBoot, KeepTasks and
-// StopUnanswered.
+// FencedCalls.
 func WithUnreportedIncarnations() Option {
-	return func(p *Policy) { p.IncFromBoot, p.KeepTasks, p.StopUnanswered = true, true, true }
+	return func(p *Policy) { p.IncFromBoot, p.KeepTasks, p.FencedCalls = true, true, true }
 }
 
 // newPolicy returns the default policy with the options applied.
--- a/io/worker.go
+++ b/io/worker.go
@@ -82,7 +82,7 @@
 func (w *rpcWorker) Launch(c core.Launch) core.Launched {
 	m, fault := callWorker(w, time.Now().Add(workerTimeout), codec.LaunchToWire(c), w.rpc.Launch)
 	return core.Launched{
-		Attempt: c.Order.Attempt, Started: m.GetStarted(), Reason: m.GetReason(), Fault: fault,
+		Attempt: c.Order.Attempt, Epoch: c.Epoch, Started: m.GetStarted(), Reason: m.GetReason(), Fault: fault,
 	}
 }
 
@@ -94,7 +94,7 @@
 // Control changes the state of a running task.
 func (w *rpcWorker) Control(c core.Control) core.Controlled {
 	m, fault := callWorker(w, time.Now().Add(workerTimeout), codec.ControlToWire(c), w.rpc.Control)
-	return core.Controlled{Attempt: c.Attempt, Verb: c.Verb, Done: m.GetDone(), Fault: fault}
+	return core.Controlled{Attempt: c.Attempt, Verb: c.Verb, Epoch: c.Epoch, Done: m.GetDone(), Fault: fault}
 }
 
 // Call sends a request to the endpoint on the worker.
