core: keep claims of a fenced worker until late extensions can't act

Cause: entries move the claims of a silent worker once lease and drift have passed since the fence. An extension of the lease that the agent sent, and got no answer to, may still reach the worker and outlast that. Sound workers' claims move as before. The wire of a worker's lists carries that they are partial.

--- a/core/effect.go
+++ b/core/effect.go
@@ -108,6 +108,8 @@
 	// Unsure says that workers that are not in Alive may send heartbeats nonetheless:
 	// the entry has not been a home for long enough to tell.
 	Unsure bool
+	// Unsettled lists the workers whose last heartbeat to the entry had Heartbeat.Unsettled.
+	Unsettled []WorkerID
 }
 
 // CommandReply answers a CommandAsked.
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -15,6 +15,9 @@
 	heartbeat   Heartbeat // the latest
 	heartbeatAt time.Time
 	silent      bool
+	// unsettled says that calls of its agents that got no answer may still take effect there,
+	// as its last heartbeat of any incarnation or another home has reported.
+	unsettled bool
 
 	// cur and prev are the last two heartbeats that may become the echo.
 	cur, prev echoCandidate
@@ -62,6 +65,7 @@
 	hb := ev.Heartbeat
 	w := e.worker(hb.Worker)
 	ans := HeartbeatAnswer{Config: e.config.rev, Entries: e.homes.addrs}
+	w.unsettled = hb.Unsettled
 	e.recordFinalEnds(w, hb, &ans)
 	for _, inc := range hb.Dead {
 		e.confirmDead(w, inc)
--- a/core/entryevent.go
+++ b/core/entryevent.go
@@ -85,8 +85,9 @@
 	Token Token
 	Alive []WorkerID // those of them that the other entry receives heartbeats from
 	// Unsure says that the other entry can't tell that the rest are silent.
-	Unsure bool
-	Fault  Fault
+	Unsure    bool
+	Unsettled []WorkerID // see LivenessReply
+	Fault     Fault
 }
 
 // CommandAsked is an operator's command. It is answered with a CommandReply.
--- a/core/entryfence.go
+++ b/core/entryfence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -108,6 +109,9 @@
 func (e *Entry) releaseFenced(w *workerView) {
 	f := e.fences[w.id]
 	wait := e.pol.Lease + e.pol.Drift
+	if w.unsettled {
+		wait += maxCallDelay // an extension may be among the calls
+	}
 	if !e.pol.on(guardFenceWait) {
 		wait = 0
 	}
@@ -141,13 +145,17 @@
 // that is no home, or has been one for a short time only, can't tell that others are silent.
 func (e *Entry) handleLivenessAsked(ev LivenessAsked) {
 	recent := e.pol.Suspect - e.pol.HeartbeatInterval
-	var alive []WorkerID
+	ans := LivenessReply{Token: ev.Token, Unsure: !e.canTellSilence()}
 	for _, id := range ev.Workers {
-		if w := e.workers[id]; w != nil && !w.heartbeat.Sent.IsZero() && e.at.Now.Sub(w.heartbeatAt) < recent {
-			alive = append(alive, id)
+		w := e.workers[id]
+		if w != nil && !w.heartbeat.Sent.IsZero() && e.at.Now.Sub(w.heartbeatAt) < recent {
+			ans.Alive = append(ans.Alive, id)
+		}
+		if w != nil && w.unsettled {
+			ans.Unsettled = append(ans.Unsettled, id)
 		}
 	}
-	e.emit(LivenessReply{Token: ev.Token, Alive: alive, Unsure: !e.canTellSilence()})
+	e.emit(ans)
 }
 
 // handleLivenessAnswered records which workers another entry receives heartbeats from.
@@ -165,6 +173,7 @@
 		if w == nil {
 			continue
 		}
+		w.unsettled = w.unsettled || slices.Contains(ev.Unsettled, id)
 		w.peersPending--
 		if ev.Fault == FaultNone && !ev.Unsure {
 			w.peersAnswered++
--- a/fake/entry.go
+++ b/fake/entry.go
@@ -258,7 +258,7 @@
 	r := request[core.LivenessReply]{
 		from: e.proc, limit: peerLimit,
 		done: func(r core.LivenessReply, f core.Fault) {
-			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: r.Alive, Unsure: r.Unsure, Fault: f})
+			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: r.Alive, Unsure: r.Unsure, Unsettled: r.Unsettled, Fault: f})
 		},
 	}
 	if to != nil {
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -36,7 +36,7 @@
 		TailLatencies: []core.ImageTailLatency{{Image: "i", Worst: 0.5, Utilization: 0.6, Tasks: 2}},
 		BestEffort:    []core.BestEffortLoad{{Image: "f", Millicores: 5}},
 		Labels:        []string{"l"}, TargetedTasks: 1, LongRunning: 3, Window: 4, Slowed: []core.Attempt{attempt}, Launching: []core.Attempt{attempt},
-		Config: 7, Leaving: true, LeaseLapsed: true, Isolated: "i", Dead: []core.Incarnation{"g"},
+		Config: 7, Leaving: true, LeaseLapsed: true, Unsettled: true, Isolated: "i", Dead: []core.Incarnation{"g"},
 	}
 	assertAllFieldsSet(t, b)
 	got, err := HeartbeatFromWire(HeartbeatToWire(b))
@@ -168,9 +168,9 @@
 	serve := core.Serve{Call: 1, Name: "n", Worker: "w", Addr: addr, Inc: "i", Run: "r", Request: request}
 	stop := core.Stop{Addr: addr, Attempt: attempt, Inc: "i", Kind: core.EndEvicted, Reason: "why"}
 	settle := core.Settle{Token: 1, Addr: addr, Attempt: attempt, Inc: "i"}
-	launch := core.Launch{Order: order, Deadline: sent}
+	launch := core.Launch{Order: order, Deadline: sent, Epoch: 1, Boot: "b"}
 	renew := core.Renew{Attempts: []core.Attempt{attempt}, Deadline: sent}
-	control := core.Control{Attempt: attempt, Verb: core.VerbStop, Percent: 3, Kind: core.EndEvicted, Reason: "why"}
+	control := core.Control{Attempt: attempt, Verb: core.VerbStop, Percent: 3, Kind: core.EndEvicted, Reason: "why", Epoch: 1}
 	result := core.CommandResult{
 		Outcome: core.CommandDone, Text: "t", Version: 1, Columns: []string{"c"},
 		Rows: [][]string{{"x"}}, RetryAfter: time.Second,
@@ -202,7 +202,7 @@
 func TestInspectedFromWireSetsAllFields(t *testing.T) {
 	in := InspectedFromWire(&wire.InspectResponse{
 		Boot: "b", Capacity: SizeToWire(size), Slots: 8, Services: []string{"s"},
-		Draining: true, Rack: "r", Labels: []string{"l"},
+		Partial: true, Draining: true, Rack: "r", Labels: []string{"l"},
 		Tasks: []*wire.WorkerTask{{
 			Attempt: AttemptToWire(attempt), Incarnation: "i", Class: "c", Size: SizeToWire(size),
 			Used: SizeToWire(size), Urgent: true, State: "ended", Started: 1, Checkpointed: 2,
--- a/internal/codec/worker.go
+++ b/internal/codec/worker.go
@@ -15,6 +15,7 @@
 		Slots:    int(m.GetSlots()),
 		Services: m.GetServices(),
 		Tasks:    mapSlice(m.GetTasks(), workerTaskFromWire),
+		Partial:  m.GetPartial(),
 		Draining: m.GetDraining(),
 		Rack:     core.Rack(m.GetRack()),
 		Labels:   m.GetLabels(),
--- a/io/entrycall.go
+++ b/io/entrycall.go
@@ -96,7 +96,8 @@
 			return p.entry.Hear(ctx, r)
 		})
 	s.driver.post(core.LivenessAnswered{
-		Token: c.Token, Alive: codec.Strings[core.WorkerID](m.GetHeard()), Unsure: m.GetUnsure(), Fault: fault,
+		Token: c.Token, Alive: codec.Strings[core.WorkerID](m.GetHeard()), Unsure: m.GetUnsure(),
+		Unsettled: codec.Strings[core.WorkerID](m.GetUnsettled()), Fault: fault,
 	})
 }
 
--- a/io/entryrpc.go
+++ b/io/entryrpc.go
@@ -53,7 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&wire.HearResponse{Heard: codec.Strings[string](reply.Alive), Unsure: reply.Unsure}), nil
+	return connect.NewResponse(&wire.HearResponse{
+		Heard: codec.Strings[string](reply.Alive), Unsure: reply.Unsure, Unsettled: codec.Strings[string](reply.Unsettled),
+	}), nil
 }
 
 // operatorRPC implements OperatorService.
--- a/sweep/entry.go
+++ b/sweep/entry.go
@@ -165,7 +165,7 @@
 			to.reduce(core.LivenessAsked{Token: t, Workers: x.Workers})
 		},
 		done: func(r core.LivenessReply, f core.Fault) {
-			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: r.Alive, Unsure: r.Unsure, Fault: f})
+			e.reduce(core.LivenessAnswered{Token: x.Token, Alive: r.Alive, Unsure: r.Unsure, Unsettled: r.Unsettled, Fault: f})
 		},
 	})
 }
