--- a/core/agentevent.go
+++ b/core/agentevent.go
@@ -22,6 +22,9 @@
 	Tasks    []WorkerTask
 	// Partial says that Tasks may lack some of the worker's tasks.
 	Partial bool
+	// CopyLost says that an earlier copy of the call got no answer and may take effect
+	// later.
+	CopyLost bool
 	// Draining says that the worker will leave and accepts no new work.
 	Draining bool
 	// Rack and Labels are as the worker reports them. If Rack is empty, that of
@@ -108,6 +111,7 @@
 	// Superseded says that the worker has done nothing, since it has seen a call of a
 	// later epoch.
 	Superseded bool
+	CopyLost   bool // see Inspected
 	Fault      Fault
 }
 
@@ -117,7 +121,9 @@
 	Verb    Verb
 	Epoch   uint64 // of the Control
 	Done    bool
-	Fault   Fault
+	// CopyLost is as in Inspected.
+	CopyLost bool
+	Fault    Fault
 }
 
 // Called is the endpoint's answer to a Call.
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -43,6 +43,9 @@
 	if !ev.Partial {
 		a.calls.endInspection()
 	}
+	if ev.CopyLost {
+		a.calls.noteUnanswered(a.calls.inspection)
+	}
 	reboot := a.ready && ev.Boot != a.boot
 	a.boot = ev.Boot
 	if reboot {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -251,7 +251,7 @@
 // handleLaunched handles the worker's answer to a Launch. A lost answer is settled
 // by a later inspection, or by the launch's deadline.
 func (a *Agent) handleLaunched(ev Launched) {
-	if ev.Fault == FaultNoAnswer {
+	if ev.Fault == FaultNoAnswer || ev.CopyLost {
 		a.calls.noteUnanswered(ev.Epoch)
 	}
 	t := a.held[ev.Attempt.Task]
@@ -352,7 +352,7 @@
 // handleControlled handles the worker's answer to a Control. It inspects the
 // worker again after a stop.
 func (a *Agent) handleControlled(ev Controlled) {
-	if ev.Fault == FaultNoAnswer {
+	if ev.Fault == FaultNoAnswer || ev.CopyLost {
 		a.calls.noteUnanswered(ev.Epoch)
 	}
 	if ev.Verb == VerbStop && ev.Fault == FaultNone && !a.inspecting {
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -210,7 +210,7 @@
 			End: EndToWire(core.End{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p", Started: true, Crash: crash.Evidence{Ran: 3, Alone: true}}),
 		}},
 	})
-	in.Fault = core.FaultNoAnswer // not from the wire
+	in.Fault, in.CopyLost = core.FaultNoAnswer, true // not from the wire
 	assertAllFieldsSet(t, in)
 }
 
