core: count a failure that comes with its incarnation's death

Callers could see a task fail more often than its queue allows. Cause: an agent's heartbeat names the dead incarnation and the end of its run. The claim was released as lost first, and the failure was then acknowledged as late. Change: failures are recorded before claims are released, like completions. Result: TestFailureOfDeadIncarnationCounts fails before, passes now. Found by review.

--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -89,9 +89,9 @@
 	e.emit(BeatReply{Token: ev.Token, Answer: ans})
 }
 
-// recordFinalEnds records the tasks that a heartbeat reports as done or ended by a crash,
-// also those of an incarnation that is fenced or dead: a task that has completed need not
-// run again as long as its claim stands, and a crash counts. It must therefore run before
+// recordFinalEnds records the tasks that a heartbeat reports as done, failed or ended by a
+// crash, also those of an incarnation that is fenced or dead: a task that has completed need
+// not run again as long as its claim stands, and failures and crashes count. It must therefore run before
 // claims are released.
 func (e *Entry) recordFinalEnds(w *workerView, hb Heartbeat, ans *HeartbeatAnswer) {
 	for _, end := range hb.Ends {
@@ -103,7 +103,9 @@
 
 // outlastsIncarnation reports whether the end says more than that the attempt's incarnation
 // is dead.
-func (e End) outlastsIncarnation() bool { return e.Kind == EndDone || e.Kind == EndCrashed }
+func (e End) outlastsIncarnation() bool {
+	return e.Kind == EndDone || e.Kind == EndCrashed || e.Kind == EndFailed
+}
 
 // adoptIncarnation reports whether the heartbeat is of the worker's current
 // incarnation. A new incarnation becomes the current one once the one before is known
--- a/core/lateend_test.go
+++ b/core/lateend_test.go
@@ -39,3 +39,12 @@
 		assert.Equal(t, taskAfterEnd(t, task, core.Heartbeat{Inc: "i"}, end).State, core.TaskDone)
 	}
 }
+
+// A failure that was reported together with the death of its incarnation was acknowledged and
+// not counted: the task could fail more often than its job allows.
+func TestFailureOfDeadIncarnationCounts(t *testing.T) {
+	end := core.End{Attempt: core.Attempt{Task: core.TaskID{Job: testJob}, Number: 1}, Kind: core.EndFailed, Started: true}
+	task := core.TaskRow{State: core.TaskClaimed, Attempt: 1, Holder: core.Holder{Worker: "w", Inc: "i"}, By: "me"}
+	hb := core.Heartbeat{Inc: "i2", Dead: []core.Incarnation{"i"}}
+	assert.Equal(t, taskAfterEnd(t, task, hb, end).Failures, uint32(1))
+}
