core: extend leases by inspections, and only until they are confirmed

Cause: each inspection repeated the latest deadline, so that one without an answer could always extend the lease late, and all tasks waited for that. Change: the reducer puts a new deadline into one inspection without long poll, until it is confirmed, and into none while the worker doesn't answer. Only if such a call got no answer does a silent worker's task wait for what may be late; a heartbeat says that calls are unsettled for such calls only, and for as long after the last one as a call may be late.

--- a/core/agent.go
+++ b/core/agent.go
@@ -42,9 +42,13 @@
 	joinedAt  time.Time // when this incarnation began or was adopted
 	fenced    bool
 	calls     callEpochs
-	// grantedUntil is the latest deadline that a call to the worker has carried.
-	grantedUntil time.Time
-	dead         map[Incarnation]bool // earlier incarnations that this agent confirms to be dead
+	// grantedUntil is the latest deadline that a call to the worker has carried,
+	// confirmedUntil the latest that an inspection it has answered did, and renewUntil what
+	// the next inspection is to carry. The last two are of the worker's present boot.
+	grantedUntil   time.Time
+	confirmedUntil time.Time
+	renewUntil     time.Time
+	dead           map[Incarnation]bool // earlier incarnations that this agent confirms to be dead
 
 	config confView
 	peers  map[netip.AddrPort]*entryPeer
@@ -68,6 +72,7 @@
 	inspecting       bool
 	inspectStartedAt time.Time             // when the latest inspection was sent
 	inspectUntil     time.Time             // until when its answer may be delayed; zero if it may not
+	inspectDeadline  time.Time             // that it carried; zero if none
 	inspectedAt      time.Time             // when an inspection last succeeded
 	inspectFaults    int                   // consecutive failed inspections
 	downSince        time.Time             // since when the worker may not have answered calls; zero if it answers
--- a/core/agentcrash_test.go
+++ b/core/agentcrash_test.go
@@ -66,10 +66,10 @@
 		return s.inspect()
 	case core.Launch:
 		if s.down {
-			return core.Launched{Attempt: eff.Order.Attempt, Fault: core.FaultNoAnswer}
+			return core.Launched{Attempt: eff.Order.Attempt, Epoch: eff.Epoch, Fault: core.FaultNoAnswer}
 		}
 		s.running[eff.Order.Attempt] = eff.Order
-		return core.Launched{Attempt: eff.Order.Attempt, Started: true}
+		return core.Launched{Attempt: eff.Order.Attempt, Epoch: eff.Epoch, Started: true}
 	case core.Control:
 		if eff.Verb == core.VerbStop {
 			s.stopped = append(s.stopped, eff)
--- a/core/agentepoch.go
+++ b/core/agentepoch.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // callEpochs numbers the agent's calls to its worker. If Policy.FencedCalls is set, the worker
 // carries out no call of an epoch below the highest that it has seen. An inspection that it
 // answers therefore settles all calls of earlier epochs: they have taken effect by then and
@@ -7,8 +9,13 @@
 type callEpochs struct {
 	current    uint64 // of calls sent now
 	unanswered bool   // a call of the current epoch got no answer
-	inspection uint64 // of the latest inspection
-	settled    uint64 // calls of lower epochs are settled
+	// grantLost says that calls that extend the lease got no answer; lostGrant is the highest
+	// of their epochs, and grantLostAt when that of the latest was given up.
+	grantLost   bool
+	lostGrant   uint64
+	grantLostAt time.Time
+	inspection  uint64 // of the latest inspection
+	settled     uint64 // calls of lower epochs are settled
 }
 
 // noteUnanswered records that a call got no answer: it may take effect later.
@@ -16,6 +23,14 @@
 	c.unanswered = c.unanswered || epoch == c.current
 }
 
+// noteGrantLost records that a call that extends the lease got no answer.
+func (c *callEpochs) noteGrantLost(epoch uint64, now time.Time) {
+	c.grantLost, c.lostGrant, c.grantLostAt = true, max(c.lostGrant, epoch), now
+}
+
+// mayExtendLate reports whether a call may still extend the lease later than it was sent.
+func (c *callEpochs) mayExtendLate() bool { return c.grantLost && !c.isSettled(c.lostGrant) }
+
 // beginInspection sets the epoch of the next inspection, a new one if there are calls to
 // settle.
 func (c *callEpochs) beginInspection() {
--- a/core/agentincarnation.go
+++ b/core/agentincarnation.go
@@ -98,6 +98,7 @@
 		}
 	}
 	a.draining = false
+	a.confirmedUntil, a.renewUntil = time.Time{}, time.Time{}
 	a.newIncarnation()
 	a.logNote("worker restarted", string(a.inc), "")
 	for _, t := range a.heldByUnsavedWork() {
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -22,30 +22,74 @@
 	if a.pol.FencedCalls {
 		a.calls.beginInspection()
 	}
-	if a.pol.InspectWait > 0 && a.calls.allSettled() {
+	a.inspectDeadline = a.nextDeadline()
+	a.grantedUntil = latest(a.grantedUntil, a.inspectDeadline)
+	if a.pol.InspectWait > 0 && a.calls.allSettled() && a.inspectDeadline.IsZero() {
 		a.inspectUntil = a.at.Now.Add(a.pol.InspectWait)
 	}
-	a.emit(Inspect{Until: a.inspectUntil, Epoch: a.calls.inspection})
+	a.emit(Inspect{Until: a.inspectUntil, Epoch: a.calls.inspection, Deadline: a.inspectDeadline})
+}
+
+// nextDeadline returns the deadline that the next inspection carries, zero for none. One that
+// is confirmed is not sent again, and none is sent to a worker that has not answered the last
+// call: if it is gone, its tasks would be held for longer.
+func (a *Agent) nextDeadline() time.Time {
+	if !a.renewUntil.After(a.confirmedUntil) || a.inspectFaults > 0 || a.workerDown() {
+		return time.Time{}
+	}
+	return a.renewUntil
+}
+
+// noteInspection records whether the latest inspection, or a copy of it, got no answer.
+func (a *Agent) noteInspection(ev Inspected) {
+	if ev.Fault != FaultNoAnswer && !ev.CopyLost {
+		return
+	}
+	a.calls.noteUnanswered(a.calls.inspection)
+	if !a.inspectDeadline.IsZero() {
+		a.calls.noteGrantLost(a.calls.inspection, a.at.Now)
+	}
+}
+
+// copyAnswerTime is the time within which a worker answers a call unless something is wrong.
+const copyAnswerTime = 300 * time.Millisecond
+
+// mayOutliveAgent reports whether calls to the worker that extend its lease may take effect
+// late, if this was the agent's last heartbeat: some have got no answer of late, or none yet.
+func (a *Agent) mayOutliveAgent() bool {
+	if !a.pol.FencedCalls {
+		return false
+	}
+	if a.calls.mayExtendLate() || a.calls.grantLost && a.at.Now.Sub(a.calls.grantLostAt) < maxCallDelay {
+		return true
+	}
+	if a.inspecting && !a.inspectDeadline.IsZero() && a.at.Now.Sub(a.inspectStartedAt) > copyAnswerTime {
+		return true
+	}
+	for _, t := range a.held {
+		if t.launched && !t.started && a.at.Now.Sub(t.launchedAt) > copyAnswerTime {
+			return true
+		}
+	}
+	return false
 }
 
 // handleInspected updates the agent from an inspection. The first one determines
 // its incarnation: that of the tasks still running at the worker, or a new one.
 func (a *Agent) handleInspected(ev Inspected) {
 	a.inspecting = false
+	if !ev.Partial && ev.Fault == FaultNone {
+		a.calls.endInspection()
+		a.confirmedUntil = latest(a.confirmedUntil, a.inspectDeadline)
+	}
+	a.noteInspection(ev)
 	if ev.Fault != FaultNone {
-		a.calls.noteUnanswered(a.calls.inspection)
 		a.count("inspect", ReasonWorker)
 		a.inspectFaults++
 		a.noteInspectFailed()
 		a.handleWorkerLost()
 		return
 	}
-	if !ev.Partial {
-		a.calls.endInspection()
-	}
-	if ev.CopyLost {
-		a.calls.noteUnanswered(a.calls.inspection)
-	}
 	reboot := a.ready && ev.Boot != a.boot
 	a.boot = ev.Boot
 	if reboot {
--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -187,7 +187,7 @@
 	}
 	for _, t := range a.heldByUnsavedWork() {
 		lostAfter := a.runsUntil(t).Add(a.pol.Drift)
-		if a.pol.FencedCalls {
+		if a.calls.mayExtendLate() {
 			lostAfter = lostAfter.Add(maxCallDelay)
 		}
 		if t.launched && a.at.Now.After(lostAfter) {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"sort"
 	"time"
 )
@@ -253,6 +254,7 @@
 func (a *Agent) handleLaunched(ev Launched) {
 	if ev.Fault == FaultNoAnswer || ev.CopyLost {
 		a.calls.noteUnanswered(ev.Epoch)
+		a.calls.noteGrantLost(ev.Epoch, a.at.Now)
 	}
 	t := a.held[ev.Attempt.Task]
 	if !t.isLaunchedBy(ev) {
@@ -306,6 +308,10 @@
 
 // emitRenew extends the deadlines of tasks at the worker to the end of the lease.
 func (a *Agent) emitRenew(ts []Attempt) {
+	if a.pol.FencedCalls {
+		a.renewUntil = latest(a.renewUntil, a.leaseEnd()) // carried by the next inspection
+		return
+	}
 	a.grantedUntil = latest(a.grantedUntil, a.leaseEnd())
 	a.emit(Renew{Attempts: ts, Deadline: a.leaseEnd()})
 }
@@ -365,9 +371,9 @@
 	switch {
 	case ev.Verb == VerbStop && ev.Done:
 		t.stopAcceptedAt = a.at.Now
-	case ev.Verb == VerbStop && ev.Fault == FaultNoAnswer:
+	case ev.Verb == VerbStop:
 		t.stopSentAt = time.Time{} // to be sent again
-	case ev.Verb == VerbThrottle && ev.Fault == FaultNoAnswer:
+	case ev.Verb == VerbThrottle && !ev.Done:
 		t.speedUnconfirmed = true
 	case ev.Verb == VerbCheckpoint && ev.Done:
 		t.savedAt = a.at.Now
@@ -378,6 +384,7 @@
 // of no use, unless the task is done: an entry records that as long as the claim stands.
 func (a *Agent) recordEnd(t *heldTask, e End) {
 	delete(a.held, t.order.Attempt.Task)
+	e.Saved = cmp.Or(e.Saved, t.saved)
 	a.logEvent("run ended", e.Attempt.String(), "kind", string(e.Kind), "reason", e.Reason, "moved", t.moved,
 		"listed", t.listed, "launched", a.since(t.launchedAt), "inspected", a.since(a.inspectedAt),
 		"deadline", a.since(t.deadline), "granted", a.since(a.grantedUntil))
--- a/core/effect.go
+++ b/core/effect.go
@@ -185,6 +185,8 @@
 type Inspect struct {
 	Until time.Time // zero: answer at once
 	Epoch uint64    // see Policy.FencedCalls
+	// Deadline extends that of all tasks if Policy.FencedCalls is set; zero does not.
+	Deadline time.Time
 }
 
 // ReadEntries reads the rows of all entries from the table, for an agent that no
@@ -199,7 +201,7 @@
 	Boot     string    // the worker's boot that it is meant for, as of the last inspection
 }
 
-// Renew extends the deadlines of tasks at the worker.
+// Renew extends the deadlines of tasks at a worker without Policy.FencedCalls.
 type Renew struct {
 	Attempts []Attempt
 	Deadline time.Time
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -28,7 +28,7 @@
 	Config        uint64 // table version of the configuration in force at the agent
 	Leaving       bool
 	LeaseLapsed   bool     // the agent holds no valid lease to start tasks under
-	Unsettled     bool     // calls to the worker that got no answer may still take effect
+	Unsettled     bool     // calls that extend the worker's lease may take effect late
 	Isolated      JobID    // the job whose tasks run here apart from others; empty if there is none
 	Labels        []string // of the worker
 	TargetedTasks int      // number of tasks with a tail-latency target
--- a/core/late_test.go
+++ b/core/late_test.go
@@ -72,13 +72,13 @@
 	queue lateQueue
 	added int // events
 
-	known    int       // boot that the agent's side knows of
-	deadline time.Time // that inspections carry, as Renew has set it
-	seen     int       // end up to which the worker may forget
-	listed   map[int]core.Attempt
-	forgot   map[core.Attempt]bool
+	known  int // boot that the agent's side knows of
+	seen   int // end up to which the worker may forget
+	listed map[int]core.Attempt
+	forgot map[core.Attempt]bool
 
-	share  float64 // of calls that are carried out late
+	share  float64 // of calls that get no answer
+	sameID bool    // the worker restarts under the id that it had
 	downTo time.Time
 
 	last     core.Heartbeat
@@ -151,7 +151,7 @@
 // learnBoot records that the worker has answered in another boot.
 func (s *lateSite) learnBoot() {
 	s.known = s.w.boot
-	s.listed, s.forgot, s.seen, s.deadline = map[int]core.Attempt{}, map[core.Attempt]bool{}, 0, time.Time{}
+	s.listed, s.forgot, s.seen = map[int]core.Attempt{}, map[core.Attempt]bool{}, 0
 }
 
 // crashWorker ends what the worker runs; it returns with a new boot.
@@ -191,22 +191,29 @@
 	})
 }
 
-// call carries out a call at the worker, late or at once, and reports whether it is answered.
-// A call that is late is lost if the worker crashes before.
+// call carries out a call at the worker, and reports whether it is answered. One without an
+// answer is carried out late, at once, or never. A late call for a worker that has restarted
+// meanwhile is refused if the worker has another id.
 func (s *lateSite) call(do func()) (answered bool) {
 	if s.now.Before(s.downTo) {
 		return false
 	}
-	if boot := s.w.boot; s.rng.Float64() < s.share {
+	if s.rng.Float64() >= s.share {
+		do()
+		return true
+	}
+	switch boot := s.w.boot; s.rng.IntN(5) {
+	case 0:
+		do()
+	case 1:
+	default:
 		s.after(s.between(lateMinDelay, lateMaxDelay), func() {
-			if s.w.boot == boot {
+			if s.w.boot == boot || s.sameID && !s.now.Before(s.downTo) {
 				do()
 			}
 		})
-		return false
 	}
-	do()
-	return true
+	return false
 }
 
 func (s *lateSite) carry(eff core.AgentEffect, life int) {
@@ -215,10 +222,6 @@
 		s.inspect(eff, life)
 	case core.Launch:
 		s.launch(eff, life)
-	case core.Renew:
-		if eff.Deadline.After(s.deadline) {
-			s.deadline = eff.Deadline
-		}
 	case core.Control:
 		s.control(eff, life)
 	case core.SendBeat:
@@ -248,7 +251,7 @@
 }
 
 func (s *lateSite) inspect(eff core.Inspect, life int) {
-	c, deadline, seen := s.newCall(eff.Epoch), s.deadline, s.seen
+	c, deadline, seen := s.newCall(eff.Epoch), eff.Deadline, s.seen
 	wait := max(eff.Until.Sub(s.now), 0)
 	if eff.Until.IsZero() {
 		wait = 0
@@ -533,16 +536,31 @@
 // its worker runs it, will start it, or has it done: a call without an answer may take effect
 // seconds later.
 func TestLateCallsRunNothingTwice(t *testing.T) {
+	for seed := range uint64(150) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { newLateSite(seed).check(t) })
+	}
+}
+
+// TestLateCallsAfterRestartUnderSameID is TestLateCallsRunNothingTwice with late calls that
+// reach the worker after it has restarted under the id that it had, as if they were meant for
+// its new incarnation.
+func TestLateCallsAfterRestartUnderSameID(t *testing.T) {
 	for seed := range uint64(150) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newLateSite(seed)
-			s.run()
-			for _, f := range s.faults {
-				t.Error(f)
-			}
-			if n := len(s.claims); n > 0 {
-				t.Errorf("%d tasks still claimed %s after the last fault", n, lateRunFor-lateFaultsFor)
-			}
+			s.sameID = true
+			s.check(t)
 		})
 	}
 }
+
+// check plays the day and reports what must not happen.
+func (s *lateSite) check(t *testing.T) {
+	s.run()
+	for _, f := range s.faults {
+		t.Error(f)
+	}
+	if n := len(s.claims); n > 0 {
+		t.Errorf("%d tasks still claimed %s after the last fault", n, lateRunFor-lateFaultsFor)
+	}
+}
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,6 +49,7 @@
 // heartbeat unless noEcho is set.
 type noIncAgent struct {
 	t          *testing.T
+	opts       []core.Option
 	a          *core.Agent
 	w          *noIncWorker
 	now        time.Time
@@ -64,8 +66,8 @@
 	noIncAttempt = core.Attempt{Task: core.TaskID{Job: "j"}, Number: 1}
 )
 
-func newNoIncAgent(t *testing.T, w *noIncWorker) *noIncAgent {
-	n := &noIncAgent{t: t, w: w, now: time.Unix(1_700_000_000, 0), fenced: map[core.Incarnation]bool{}}
+func newNoIncAgent(t *testing.T, w *noIncWorker, opts ...core.Option) *noIncAgent {
+	n := &noIncAgent{t: t, w: w, opts: opts, now: time.Unix(1_700_000_000, 0), fenced: map[core.Incarnation]bool{}}
 	n.restart()
 	return n
 }
@@ -73,7 +75,7 @@
 // restart replaces the agent by a new process.
 func (n *noIncAgent) restart() {
 	self := core.AgentIdentity{Worker: "w", DC: "dc", Entries: []netip.AddrPort{noIncEntry}}
-	n.a = core.NewAgent(self, core.WithUnreportedIncarnations())
+	n.a = core.NewAgent(self, append(slices.Clone(n.opts), core.WithUnreportedIncarnations())...)
 	n.run(2 * time.Second)
 }
 
@@ -201,6 +203,24 @@
 	assert.Equal(t, len(n.last.Ends), 1, "never reported as lost")
 }
 
+// A worker that is gone answers nothing. Its tasks are handed back as soon as the lease that
+// it was granted has certainly expired, and not only once a late call could have acted.
+func TestTasksOfLostWorkerAreHandedBackSoon(t *testing.T) {
+	p := core.DefaultPolicy()
+	p.Lease, p.HeartbeatInterval = 6*time.Second, time.Second
+	p.InspectInterval, p.InspectWait = 50*time.Millisecond, 500*time.Millisecond
+	n := newNoIncAgent(t, newNoIncWorker(), core.WithPolicy(p))
+	n.order(noIncAttempt)
+	n.run(3500 * time.Millisecond)
+	n.w.unresponsive = true
+	at := n.now
+	for len(n.last.Ends) == 0 && n.now.Sub(at) < time.Minute {
+		n.run(50 * time.Millisecond)
+	}
+	assert.Equal(t, n.last.Ends[0].Kind, core.EndLost)
+	assert.Assert(t, n.now.Sub(at) < p.Lease+p.Drift+time.Second, "after %s", n.now.Sub(at))
+}
+
 // A restarted agent takes over the running tasks under the same incarnation.
 func TestRestartedAgentKeepsIncarnation(t *testing.T) {
 	n := newNoIncAgent(t, newNoIncWorker())
--- a/core/workerlost_test.go
+++ b/core/workerlost_test.go
@@ -30,7 +30,7 @@
 				evs = append(evs, s.inspect())
 			case core.Launch:
 				s.runs = true
-				evs = append(evs, core.Launched{Attempt: eff.Order.Attempt, Started: true})
+				evs = append(evs, core.Launched{Attempt: eff.Order.Attempt, Epoch: eff.Epoch, Started: true})
 			case core.SendBeat:
 				s.last = eff.Heartbeat
 				evs = append(evs, core.HeartbeatAnswered{
