core: believe a worker that says that it leaves once it refuses connections

Callers could see tasks run twice after a worker restarted under its former id. Cause: the notice that a worker leaves names only its id. A late one of the former incarnation gave away all tasks that the present one ran, at once. Change: the agent takes no more work and inspects the worker; its tasks are lost when it refuses the connection. One that answers 2 s later stays.

--- a/core/agent.go
+++ b/core/agent.go
@@ -27,7 +27,8 @@
 	services  []string
 	rack      Rack
 	labels    []string
-	draining  bool // the worker will leave
+	draining  bool      // the worker will leave
+	leftAt    time.Time // when the worker gave notice that it leaves; zero if it has not
 	used      Size
 	unmanaged Size // size of tasks that run at the worker but are not held
 
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -75,7 +75,7 @@
 // isClosed reports whether the agent accepts no new work for now.
 func (a *Agent) isClosed() bool {
 	out, _ := a.dcOut()
-	return out || a.leaving || a.fenced || a.draining
+	return out || a.leaving || a.fenced || a.draining || !a.leftAt.IsZero()
 }
 
 // checkOrder performs the checks that don't depend on the VM's free resources.
--- a/core/agentdrain.go
+++ b/core/agentdrain.go
@@ -46,9 +46,38 @@
 	a.expediteHeartbeats()
 }
 
-// handleWorkerGone records the tasks of a worker that has left as lost.
+// handleWorkerGone handles a worker's notice that it leaves. The notice may be late, and of
+// an earlier incarnation: the tasks of a worker with fenced calls are lost only once it
+// accepts no connections.
 func (a *Agent) handleWorkerGone() {
-	a.drain()
+	if !a.pol.FencedCalls {
+		a.drain()
+		a.loseLeft()
+		return
+	}
+	a.leftAt = a.at.Now
+	a.nextInspect = a.at.Now
+	a.expediteHeartbeats()
+}
+
+// leftTimeout is how long a worker may answer after its notice that it leaves. One that answers
+// later has not left.
+const leftTimeout = 2 * time.Second
+
+// checkLeft handles the result of an inspection of a worker that has said that it leaves.
+func (a *Agent) checkLeft(f Fault) {
+	switch {
+	case a.leftAt.IsZero():
+	case f == FaultNotSent:
+		a.loseLeft()
+	case f == FaultNone && a.at.Now.Sub(a.leftAt) > leftTimeout:
+		a.logNote("worker stays", string(a.inc), "it answers after its notice that it leaves")
+		a.leftAt = time.Time{}
+	}
+}
+
+// loseLeft records the tasks of a worker that has left as lost.
+func (a *Agent) loseLeft() {
 	a.logNote("worker gone", string(a.inc), "it has left")
 	for _, t := range a.heldByUnsavedWork() {
 		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "its worker has left"})
--- a/core/agentincarnation.go
+++ b/core/agentincarnation.go
@@ -97,7 +97,7 @@
 			delete(a.held, id)
 		}
 	}
-	a.draining = false
+	a.draining, a.leftAt = false, time.Time{}
 	a.confirmedUntil, a.renewUntil = time.Time{}, time.Time{}
 	a.newIncarnation()
 	a.logNote("worker restarted", string(a.inc), "")
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -83,6 +83,7 @@
 		a.confirmedUntil = latest(a.confirmedUntil, a.inspectDeadline)
 	}
 	a.noteInspection(ev)
+	a.checkLeft(ev.Fault)
 	if ev.Fault != FaultNone {
 		a.count("inspect", ReasonWorker)
 		a.inspectFaults++
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -20,6 +20,7 @@
 	done         map[core.Attempt]bool // ends that the agent has not made it forget
 	loseStarts   bool                  // starts get no answer and are only recorded in lateStarts
 	unresponsive bool                  // no call is answered
+	gone         bool                  // it refuses connections
 	lateStarts   []core.Launch
 	epoch        uint64 // the highest seen
 	stops        int
@@ -95,6 +96,9 @@
 func (n *noIncAgent) execute(eff core.AgentEffect) core.AgentEvent {
 	switch eff := eff.(type) {
 	case core.Inspect:
+		if n.w.gone {
+			return core.Inspected{Fault: core.FaultNotSent}
+		}
 		if n.w.unresponsive {
 			return core.Inspected{Fault: core.FaultNoAnswer}
 		}
@@ -221,6 +225,22 @@
 	assert.Assert(t, n.now.Sub(at) < p.Lease+p.Drift+time.Second, "after %s", n.now.Sub(at))
 }
 
+// A notice that a worker leaves may be late, and of an incarnation before the present one: its
+// tasks were given to other workers while they ran.
+func TestLateNoticeOfLeaving(t *testing.T) {
+	n := newNoIncAgent(t, newNoIncWorker())
+	n.order(noIncAttempt)
+	n.reduce(core.WorkerGone{})
+	n.run(4 * time.Second)
+	assert.Equal(t, len(n.last.Ends), 0, "given away while it runs")
+	assert.Assert(t, !n.last.Leaving, "a worker that stays gets no work")
+
+	n.w.gone = true
+	n.reduce(core.WorkerGone{})
+	n.run(200 * time.Millisecond)
+	assert.Equal(t, len(n.last.Ends), 1, "the task of a worker that has left is not handed back at once")
+}
+
 // A restarted agent takes over the running tasks under the same incarnation.
 func TestRestartedAgentKeepsIncarnation(t *testing.T) {
 	n := newNoIncAgent(t, newNoIncWorker())
