core: show what late calls do once an agent is gone

Cause: the model of late calls left out agents that are lost for good, whose claims move by the entries' wait. Change: two tests.

--- a/core/late_test.go
+++ b/core/late_test.go
@@ -50,14 +50,20 @@
 
 // Times of the model, as the platform's pages state them.
 const (
-	lateMinDelay  = 2 * time.Second
-	lateMaxDelay  = 12 * time.Second
-	lateMaxLease  = 6 * time.Second
-	lateStopTime  = 400 * time.Millisecond
-	lateTimeout   = time.Second // of a call, beyond the time for which the worker may hold it
-	lateStep      = 10 * time.Millisecond
-	lateRestart   = 3500 * time.Millisecond
+	lateMinDelay = 2 * time.Second
+	lateMaxDelay = 12 * time.Second
+	lateMaxLease = 6 * time.Second
+	lateStopTime = 400 * time.Millisecond
+	lateTimeout  = time.Second // of a call, beyond the time for which the worker may hold it
+	lateStep     = 10 * time.Millisecond
+	lateRestart  = 3500 * time.Millisecond
+	lateSuspect  = 3500 * time.Millisecond
+	lateDrift    = 400 * time.Millisecond
+	// lateMaxCallDelay is how long entries wait for calls that may be late.
+	lateMaxCallDelay = 13 * time.Second
+
 	lateRunFor    = 45 * time.Second
+	lateFrom      = 2 * time.Second
 	lateFaultsFor = 24 * time.Second
 )
 
@@ -79,6 +85,7 @@
 
 	share  float64 // of calls that get no answer
 	sameID bool    // the worker restarts under the id that it had
+	gone   bool    // the agent is, for good
 	downTo time.Time
 
 	last     core.Heartbeat
@@ -164,9 +171,12 @@
 
 // startAgent replaces the agent by a new process, which knows nothing.
 func (s *lateSite) startAgent() {
+	if s.gone {
+		return
+	}
 	s.life++
 	p := core.DefaultPolicy()
-	p.Lease, p.Permit, p.Drift = lateMaxLease, 2500*time.Millisecond, 400*time.Millisecond
+	p.Lease, p.Permit, p.Drift = lateMaxLease, 2500*time.Millisecond, lateDrift
 	p.InspectInterval, p.InspectWait, p.HeartbeatInterval = 50*time.Millisecond, 500*time.Millisecond, time.Second
 	self := core.AgentIdentity{
 		Worker: "w", DC: "d", Run: core.Run(fmt.Sprint(s.life)), Entries: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
@@ -176,6 +186,9 @@
 }
 
 func (s *lateSite) reduce(ev core.AgentEvent) {
+	if s.gone {
+		return
+	}
 	life := s.life
 	for _, eff := range slices.Clone(s.a.Reduce(core.Stamp{Now: s.now, Seed: 1}, ev)) {
 		s.carry(eff, life)
@@ -486,6 +499,9 @@
 
 // order gives the agent a task, and asks it about those that it doesn't report.
 func (s *lateSite) order() {
+	if s.gone {
+		return
+	}
 	s.nextTask++
 	a := core.Attempt{Task: core.TaskID{Job: "j", N: s.nextTask}, Number: 1}
 	s.claims[a] = &siteClaim{inc: s.last.Inc, reportedAt: s.now}
@@ -504,11 +520,26 @@
 	}
 }
 
+// loseAgent ends the agent for good. Its claims move as entries move those of a worker that
+// they hear no more: once they suspect and fence it, and its lease has expired.
+func (s *lateSite) loseAgent() {
+	s.gone = true
+	wait := lateSuspect + lateMaxLease + lateDrift
+	if s.last.Unsettled {
+		wait += lateMaxCallDelay
+	}
+	s.after(wait-s.now.Sub(s.last.Sent), func() {
+		for _, a := range s.claimed() {
+			s.release(a)
+		}
+	})
+}
+
 // run plays a day: calls are carried out late for a time, while the worker crashes and the
 // agent is restarted.
 func (s *lateSite) run() {
 	end := s.now.Add(lateRunFor)
-	s.after(2*time.Second, func() { s.share = 0.3 + 0.5*s.rng.Float64() })
+	s.after(lateFrom, func() { s.share = 0.3 + 0.5*s.rng.Float64() })
 	s.after(lateFaultsFor, func() { s.share = 0 })
 	for range s.rng.IntN(3) {
 		s.after(s.between(4*time.Second, lateFaultsFor), s.crashWorker)
@@ -554,6 +585,30 @@
 	}
 }
 
+// TestLateCallsAfterAgentIsGone guards against a task that is placed elsewhere while the worker
+// of an agent that is gone runs it on: calls may have extended its lease late.
+func TestLateCallsAfterAgentIsGone(t *testing.T) {
+	for seed := range uint64(150) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newLateSite(seed)
+			s.after(s.between(lateFrom+3*time.Second, lateFaultsFor-3*time.Second), s.loseAgent)
+			s.check(t)
+		})
+	}
+}
+
+// TestLateCallsBeginAsAgentIsGone is TestLateCallsAfterAgentIsGone with an agent that is gone
+// before it can report that calls get no answer.
+func TestLateCallsBeginAsAgentIsGone(t *testing.T) {
+	for seed := range uint64(150) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newLateSite(seed)
+			s.after(s.between(lateFrom, lateFrom+2*time.Second), s.loseAgent)
+			s.check(t)
+		})
+	}
+}
+
 // check plays the day and reports what must not happen.
 func (s *lateSite) check(t *testing.T) {
 	s.run()
