core: don't take a task for vanished whose row can't be read

A held task that the worker's lists lack counts as vanished. Where its row was there but could not be read, it was recorded as lost, and could start elsewhere beside the run that goes on. Inspected names such tasks in Unread, and the agent settles them once their rows can be read or are gone; the other tasks are settled as before.

TestTaskThatListsMayLackIsNotLost failed before with Unread and passes now; its case with Partial passed before too.

--- a/core/agentevent.go
+++ b/core/agentevent.go
@@ -22,6 +22,9 @@
 	Tasks    []WorkerTask
 	// Partial says that Tasks may lack some of the worker's tasks.
 	Partial bool
+	// Unread lists the tasks whose state the worker may have reported in a form that can't
+	// be read. They are not among Tasks.
+	Unread []TaskID
 	// Draining says that the worker will leave and accepts no new work.
 	Draining bool
 	// Rack and Labels are as the worker reports them. If Rack is empty, that of
--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -13,7 +14,7 @@
 		a.reconcileTask(w)
 	}
 	if !ev.Partial {
-		a.reconcileUnlisted(ev.Tasks)
+		a.reconcileUnlisted(ev)
 	}
 	a.makeRoom()
 	a.paceBestEffort()
@@ -21,13 +22,14 @@
 }
 
 // reconcileUnlisted handles the held tasks that are not among those that the worker lists.
-func (a *Agent) reconcileUnlisted(tasks []WorkerTask) {
-	listed := make(map[Attempt]bool, len(tasks))
-	for _, w := range tasks {
+// Nothing is known of one whose state can't be read.
+func (a *Agent) reconcileUnlisted(ev Inspected) {
+	listed := make(map[Attempt]bool, len(ev.Tasks))
+	for _, w := range ev.Tasks {
 		listed[w.Attempt] = true
 	}
 	for _, t := range a.heldByUnsavedWork() {
-		if !listed[t.order.Attempt] {
+		if !listed[t.order.Attempt] && !slices.Contains(ev.Unread, t.order.Attempt.Task) {
 			a.handleUnlisted(t)
 		}
 	}
--- a/core/workerlost_test.go
+++ b/core/workerlost_test.go
@@ -18,6 +18,20 @@
 	down bool
 	last core.Heartbeat
 	runs bool // the worker runs the task
+
+	partial bool          // the worker's lists are cut
+	unread  []core.TaskID // tasks whose rows can't be read
+}
+
+// newAgentHarness returns an agent that has joined.
+func newAgentHarness() *agentHarness {
+	entry := netip.MustParseAddrPort("127.0.0.1:7101")
+	s := &agentHarness{
+		now: time.Unix(1_800_000_000, 0),
+		a:   core.NewAgent(core.AgentIdentity{Worker: "w", DC: "d", Run: "r", Entries: []netip.AddrPort{entry}}),
+	}
+	s.run(5 * time.Second)
+	return s
 }
 
 func (s *agentHarness) reduce(ev core.AgentEvent) {
@@ -45,7 +59,7 @@
 	if s.down {
 		return core.Inspected{Fault: core.FaultNoAnswer}
 	}
-	in := core.Inspected{Boot: "b", Capacity: core.Size{Millicores: 4000, MemoryMB: 8000}, Slots: 2}
+	in := core.Inspected{Boot: "b", Capacity: core.Size{Millicores: 4000, MemoryMB: 8000}, Slots: 2, Partial: s.partial, Unread: s.unread}
 	if s.runs {
 		in.Tasks = []core.WorkerTask{{Attempt: testAttempt, Inc: s.last.Inc, Size: testSize, State: core.WorkerRunning, Started: s.now}}
 	}
@@ -67,12 +81,7 @@
 // TestTaskOfUnresponsiveWorkerIsLost requires that an agent reports the task of a worker
 // that no longer answers as lost, but not before the worker has paused it by itself.
 func TestTaskOfUnresponsiveWorkerIsLost(t *testing.T) {
-	entry := netip.MustParseAddrPort("127.0.0.1:7101")
-	s := &agentHarness{
-		now: time.Unix(1_800_000_000, 0),
-		a:   core.NewAgent(core.AgentIdentity{Worker: "w", DC: "d", Run: "r", Entries: []netip.AddrPort{entry}}),
-	}
-	s.run(5 * time.Second)
+	s := newAgentHarness()
 	s.reduce(core.StartAsked{Token: 1, Order: core.Order{
 		Attempt: testAttempt, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Echo: s.now, Size: testSize, Class: "c",
 	}})
@@ -89,3 +98,25 @@
 	assert.Equal(t, s.last.Ends[0].Kind, core.EndLost)
 	assert.Equal(t, len(s.last.Running), 0)
 }
+
+// A task whose row the worker's lists lack, or hold in a form that can't be read, was taken
+// for vanished, and started elsewhere beside the run that goes on.
+func TestTaskThatListsMayLackIsNotLost(t *testing.T) {
+	for _, hide := range []func(*agentHarness){
+		func(s *agentHarness) { s.partial = true },
+		func(s *agentHarness) { s.unread = []core.TaskID{{Job: "other"}, testAttempt.Task} },
+	} {
+		s := newAgentHarness()
+		s.reduce(core.StartAsked{Token: 1, Order: core.Order{
+			Attempt: testAttempt, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Echo: s.now, Size: testSize, Class: "c",
+		}})
+		s.run(5 * time.Second)
+		s.runs = false
+		hide(s)
+		s.run(5 * time.Second)
+		assert.DeepEqual(t, s.last.Running, []core.Attempt{testAttempt})
+		s.partial, s.unread = false, []core.TaskID{{Job: "other"}}
+		s.run(time.Second)
+		assert.Equal(t, len(s.last.Ends), 1, "a row of another task keeps this one from being settled")
+	}
+}
