core: check each count of tasks before adding them up

A POST of a job whose steps have counts such as 1<<62 was accepted: their sum overflows to a few tasks, below the limit. Its first placement ended the entry (slice bounds out of range in isStepDone), and so did each entry that read the stored row afterwards. Counts are checked one by one first; the answer is 400.

TestCountsOfTasksThatOverflowAreInvalid failed before (the job was accepted, and placing it panicked) and passes now.

--- a/core/steps.go
+++ b/core/steps.go
@@ -251,6 +251,8 @@
 	return ""
 }
 
+const tooManyTasks = "the job has more than 1024 tasks"
+
 // CheckSteps returns a description of the first error in a job with steps; empty
 // if the job is valid.
 func (s *JobSpec) CheckSteps() string {
@@ -261,6 +263,9 @@
 		return "the job has no steps or more than 64"
 	}
 	for i, st := range s.Steps {
+		if st.Count > MaxStepTasks {
+			return tooManyTasks // before the counts are added up
+		}
 		if st.Count < 1 || st.Size.Millicores < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
 			return "a step has no tasks or a negative size"
 		}
@@ -271,7 +276,7 @@
 		}
 	}
 	if s.Len() > MaxStepTasks {
-		return "the job has more than 1024 tasks"
+		return tooManyTasks
 	}
 	return ""
 }
