core: pass over rows of jobs that don't fit themselves

A row of a job that decodes, but has fewer tasks than its steps, counts that are negative or overflow, or a step after one that doesn't exist, ended each entry that read it, again after each restart, and then the entry that took the shard over. Decode checks a job's row as it is checked when a job is accepted, its key, the number of its tasks and their states; readers log such a row and pass it over like one that doesn't decode.

--- a/core/crash_test.go
+++ b/core/crash_test.go
@@ -141,14 +141,20 @@
 
 // readShardOf answers the entry's reads until it has read a job's row.
 func (h *entryHarness) readShardOf(row core.JobRow) {
-	r := h.row(keyOfJob(row.Spec.ID), row)
+	h.readShardsWith(h.row(keyOfJob(row.Spec.ID), row))
+}
+
+// readShardsWith answers the entry's reads until it has read all rows of jobs.
+func (h *entryHarness) readShardsWith(rows ...table.Row) {
 	for range 3 { // not all shards are read in one round
 		h.now = h.now.Add(time.Second)
 		h.post(core.Tick{})
 		for _, read := range allOf[core.ReadChanges](h) {
 			view := table.View{Revision: h.rev}
-			if strings.HasPrefix(r.Key, read.Prefix) {
-				view.Rows = []table.Row{r}
+			for _, r := range rows {
+				if strings.HasPrefix(r.Key, read.Prefix) {
+					view.Rows = append(view.Rows, r)
+				}
 			}
 			h.post(core.ChangesAnswered{Token: read.Token, View: view})
 		}
--- a/core/rows.go
+++ b/core/rows.go
@@ -323,7 +323,7 @@
 }
 
 // Decode decodes the record of a row. The key determines its type. It fails for an
-// unknown kind of key and for a malformed value.
+// unknown kind of key, for a malformed value, and for one that is not valid as that record.
 func Decode(key string, b []byte) (Record, error) {
 	switch {
 	case key == KeyVersion:
@@ -357,5 +357,10 @@
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		return r, fmt.Errorf("decode row %s: %w", key, err)
 	}
+	if c, ok := Record(r).(checked); ok {
+		if err := c.check(key); err != nil {
+			return r, fmt.Errorf("decode row %s: %w", key, err)
+		}
+	}
 	return r, nil
 }
