core: pass over rows of entries that name none to use

A row in the table of entries with another id than its key's, without an address to call (none, a port of 0 or out of range, 0.0.0.0), or with numbers out of range counted as a live entry and as a home. It owned shards, and nobody scheduled their jobs nor counted them, for as long as the row was rewritten. A report of a revision to come stood for the count of its shard for good. Agents that looked for entries in the table asked such addresses. Decode checks an entry's row now, and reports may not be newer than the row itself.

--- a/core/agentpeer.go
+++ b/core/agentpeer.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		row, _ := rec.(EntryRow)
-		addr, err := netip.ParseAddrPort(row.Addr)
+		addr, err := row.addr()
 		if err != nil {
 			a.logNote("entry row without an address", r.Key, err.Error())
 			continue
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -114,6 +114,10 @@
 	if !ok {
 		return
 	}
+	if i := slices.IndexFunc(row.Reports, func(s ShardReport) bool { return s.ReadUpTo > r.Version }); i >= 0 {
+		e.logNote("entry row passed over", r.Key, "reports of a revision that was still to come")
+		return
+	}
 	p := e.peers[row.ID]
 	if p == nil {
 		p = &peerView{}
@@ -126,11 +130,10 @@
 	if row.ID != e.self.ID {
 		e.applyReports(row.Reports)
 	}
-	addr, err := netip.ParseAddrPort(row.Addr)
+	p.addr, err = row.addr()
 	if err != nil {
 		e.logNote("entry row without an address", r.Key, err.Error())
 	}
-	p.addr = addr
 }
 
 // isAlive reports whether an entry's row has changed within EntryTimeout. No row
--- a/core/oddrow_test.go
+++ b/core/oddrow_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayloft/core"
+	"jayloft/table"
 )
 
 // A job whose counts of tasks overflow when they are added up was accepted as one of few
@@ -100,3 +101,129 @@
 	_, err := core.Decode(row.Key, row.Value)
 	assert.NilError(t, err)
 }
+
+// goodEntry is the row of a live entry.
+func goodEntry(heartbeat uint64) core.EntryRow {
+	return core.EntryRow{ID: "peer", Addr: "127.0.0.1:7105", Heartbeats: heartbeat, DC: "dc", Millicores: 1000}
+}
+
+// oddEntries change the row of an entry to one that no entry writes.
+var oddEntries = map[string]func(*core.EntryRow){
+	"empty":               func(r *core.EntryRow) { *r = core.EntryRow{} },
+	"no id":               func(r *core.EntryRow) { r.ID = "" },
+	"another id":          func(r *core.EntryRow) { r.ID = "peer" },
+	"this entry's id":     func(r *core.EntryRow) { r.ID = "me" },
+	"no address":          func(r *core.EntryRow) { r.Addr = "" },
+	"no address in it":    func(r *core.EntryRow) { r.Addr = "here" },
+	"no port":             func(r *core.EntryRow) { r.Addr = "127.0.0.1" },
+	"port zero":           func(r *core.EntryRow) { r.Addr = "127.0.0.1:0" },
+	"port out of range":   func(r *core.EntryRow) { r.Addr = "127.0.0.1:65536" },
+	"large port":          func(r *core.EntryRow) { r.Addr = "127.0.0.1:99999" },
+	"negative port":       func(r *core.EntryRow) { r.Addr = "127.0.0.1:-1" },
+	"unspecified address": func(r *core.EntryRow) { r.Addr = "0.0.0.0:7105" },
+	"negative millicores": func(r *core.EntryRow) { r.Millicores = math.MinInt64 },
+	"large millicores":    func(r *core.EntryRow) { r.Millicores = math.MaxInt64 },
+	"shard out of range":  func(r *core.EntryRow) { r.Reports = []core.ShardReport{{Shard: core.Shards, ReadUpTo: 1}} },
+	"negative shard":      func(r *core.EntryRow) { r.Reports = []core.ShardReport{{Shard: -1, ReadUpTo: 1}} },
+	"revision to come":    func(r *core.EntryRow) { r.Reports = []core.ShardReport{{ReadUpTo: math.MaxUint64}} },
+	"negative count": func(r *core.EntryRow) {
+		r.Reports = []core.ShardReport{{ReadUpTo: 1, Waiting: map[string]int{testQueue: math.MinInt}}}
+	},
+}
+
+// A row that names no entry to use counted as a live entry that owned shards: nobody
+// scheduled their jobs. One with reports of a revision to come stood for the count of a
+// shard for good.
+func TestOddEntryRowOwnsNoShard(t *testing.T) {
+	for name, change := range oddEntries {
+		t.Run(name, func(t *testing.T) {
+			h := newEntryHarness(t)
+			for n := range uint64(20) {
+				h.now = h.now.Add(500 * time.Millisecond)
+				h.rev++
+				row := goodEntry(n)
+				row.ID = "odd"
+				change(&row)
+				h.post(core.Tick{})
+				h.answerReads(map[string][]table.Row{core.PrefixEntry: {h.row(core.PrefixEntry+"odd", row)}})
+			}
+			assert.Equal(t, h.askCount().Outcome, core.JobAccepted, "a shard is left to an entry that is none")
+			assert.Equal(t, h.askCount().Pending, 0)
+		})
+	}
+}
+
+// An odd row beside it does not hide an entry.
+func TestOddEntryRowHidesNoEntry(t *testing.T) {
+	for name, change := range oddEntries {
+		t.Run(name, func(t *testing.T) {
+			h := newEntryHarness(t)
+			for n := range uint64(20) {
+				h.now = h.now.Add(500 * time.Millisecond)
+				h.rev++
+				odd := goodEntry(n)
+				odd.ID = "odd"
+				change(&odd)
+				h.post(core.Tick{})
+				h.answerReads(map[string][]table.Row{core.PrefixEntry: {
+					h.row(core.PrefixEntry+"odd", odd), h.row(core.PrefixEntry+"peer", goodEntry(n)),
+				}})
+			}
+			relays := map[string]bool{}
+			for i := range 4 * core.Shards {
+				h.post(core.JobRequested{Token: core.Token(1000 + i), Request: core.JobRequest{
+					Verb: core.JobGet, Path: fmt.Sprint("/q/job", i), Deadline: h.now.Add(time.Second),
+				}})
+				for _, r := range allOf[core.Relay](h) {
+					relays[r.Addr.String()] = true
+				}
+			}
+			assert.DeepEqual(t, relays, map[string]bool{goodEntry(0).Addr: true})
+		})
+	}
+}
+
+// An agent that no entry answers must ask no address that can't be one, and still find the
+// entries beside it.
+func TestAgentPassesOverOddEntryRows(t *testing.T) {
+	for name, change := range oddEntries {
+		t.Run(name, func(t *testing.T) {
+			h := newEntryHarness(t)
+			odd := goodEntry(1)
+			odd.ID = "odd"
+			change(&odd)
+			rows := []table.Row{h.row(core.PrefixEntry+"odd", odd), h.row(core.PrefixEntry+"peer", goodEntry(1))}
+			rows[0].Version += 100 // written last
+			assert.DeepEqual(t, h.askedEntries(rows), map[string]bool{goodEntry(1).Addr: true})
+		})
+	}
+}
+
+// askedEntries returns the addresses to which an agent without entries sends heartbeats,
+// given the entries' rows.
+func (h *entryHarness) askedEntries(rows []table.Row) map[string]bool {
+	pol := core.DefaultPolicy()
+	pol.FindEntries = true
+	a := core.NewAgent(core.AgentIdentity{Worker: "w", DC: "d", Run: "r"}, core.WithPolicy(pol))
+	addrs := map[string]bool{}
+	evs := []core.AgentEvent{}
+	for range 100 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		evs = append(evs, core.Tick{})
+		for len(evs) > 0 {
+			ev := evs[0]
+			evs = evs[1:]
+			for _, eff := range a.Reduce(core.Stamp{Now: h.now, Seed: 1}, ev) {
+				switch eff := eff.(type) {
+				case core.Inspect:
+					evs = append(evs, core.Inspected{Boot: "b", Capacity: core.Size{Millicores: 4000, MemoryMB: 8000}})
+				case core.ReadEntries:
+					evs = append(evs, core.EntriesRead{View: table.View{Rows: rows, Revision: h.rev}})
+				case core.SendBeat:
+					addrs[eff.Entry.String()] = true
+				}
+			}
+		}
+	}
+	return addrs
+}
--- a/core/rowcheck.go
+++ b/core/rowcheck.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/netip"
 )
 
 // The table's rows may be written by others. A row that decodes but that no process of
@@ -45,3 +46,44 @@
 	}
 	return nil
 }
+
+// maxMillicores bounds the processor time of an entry, so that sums don't overflow.
+const maxMillicores = 1 << 40
+
+// check checks that the row names an entry that can be called.
+func (r EntryRow) check(key string) error {
+	switch {
+	case r.ID == "" || key != keyEntry(r.ID):
+		return errors.New("holds another entry")
+	case r.Millicores < 0 || r.Millicores > maxMillicores:
+		return fmt.Errorf("%d millicores are out of range", r.Millicores)
+	}
+	for i := range r.Reports {
+		if err := r.Reports[i].check(); err != nil {
+			return err
+		}
+	}
+	_, err := r.addr()
+	return err
+}
+
+// addr returns the address at which others call the entry.
+func (r EntryRow) addr() (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(r.Addr)
+	if err == nil && (addr.Port() == 0 || addr.Addr().IsUnspecified()) {
+		err = fmt.Errorf("%s is no address to call", addr)
+	}
+	return addr, err
+}
+
+func (r ShardReport) check() error {
+	if r.Shard < 0 || r.Shard >= Shards {
+		return fmt.Errorf("report of shard %d", r.Shard)
+	}
+	for _, n := range r.Waiting {
+		if n < 0 || n > math.MaxInt32 {
+			return fmt.Errorf("report of %d waiting jobs", n)
+		}
+	}
+	return nil
+}
