core: don't let an odd row block the transactions that it is a condition of

Jobs share transactions. One that conflicted with a row that can't be decoded, of a job or of a worker's fence, was sent again with the version that was known before, and conflicted for good: nothing was placed or recorded any more, and a dead worker could not be fenced. The version of an odd fence row is noted, so that the next write replaces it. The entry that schedules a job replaces its odd row with what it knows; other edits of such a job, as of a submission under its key, are dropped and answered as unknown.

TestOddRowBlocksNoTransaction and TestOddRowBlocksNoOtherSubmission failed before and pass now.

--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -340,14 +340,8 @@
 	if f.learnedAt == nil {
 		f.learnedAt = map[Incarnation]time.Time{}
 	}
-	f.row = FenceRow{Worker: id}
-	if !r.Deleted {
-		rec, err := Decode(r.Key, r.Value)
-		if err != nil {
-			e.logNote("fence row passed over", r.Key, err.Error())
-			return
-		}
-		f.row, _ = rec.(FenceRow)
+	if row, ok := e.readFence(r); ok { // otherwise the next write replaces it
+		f.row = row
 	}
 	for _, inc := range f.row.Fenced {
 		if _, ok := f.learnedAt[inc]; !ok {
@@ -356,3 +350,18 @@
 	}
 	e.fences[id] = f
 }
+
+// readFence decodes the row of a worker's fence. It reports false if the row is not one.
+func (e *Entry) readFence(r table.Row) (FenceRow, bool) {
+	id := WorkerID(r.Key[len(PrefixFence):])
+	if r.Deleted {
+		return FenceRow{Worker: id}, true
+	}
+	rec, err := Decode(r.Key, r.Value)
+	if err != nil {
+		e.logNote("fence row passed over", r.Key, err.Error())
+		return FenceRow{}, false
+	}
+	row, ok := rec.(FenceRow)
+	return row, ok
+}
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -298,9 +298,13 @@
 }
 
 func (e *Entry) applyConflictRow(r table.Row) {
-	switch rec, _ := Decode(r.Key, r.Value); rec.(type) {
+	rec, err := Decode(r.Key, r.Value)
+	switch rec.(type) {
 	case JobRow:
 		e.applyJobRow(r)
+		if err != nil && r.Version > 0 {
+			e.handleOddJobRow(r)
+		}
 	case FenceRow:
 		e.applyFenceRow(r)
 	case DCRow:
@@ -309,6 +313,27 @@
 	}
 }
 
+// handleOddJobRow keeps a job's row that is none from blocking the transactions that the job
+// shares with others. The entry that schedules the job knows its state, and replaces the row
+// with the next edit. All other edits of the job are dropped.
+func (e *Entry) handleOddJobRow(r table.Row) {
+	id := JobID(r.Key[len(shardPrefix(0)):])
+	j := e.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.row.stored && !j.foreign {
+		j.version = r.Version
+		return
+	}
+	waiters := j.waiters
+	j.waiters, j.edits = nil, nil
+	e.forget(id, j)
+	for _, jr := range waiters {
+		e.answerJobRequest(jr, JobAnswer{Outcome: JobUnknown, Reason: ReasonStore})
+	}
+}
+
 // handleEditStored acts on an edit that is committed: it answers waiters, sends start
 // orders and records ends.
 func (e *Entry) handleEditStored(j *jobView, ed edit) {
--- a/core/oddrow_test.go
+++ b/core/oddrow_test.go
@@ -227,3 +227,72 @@
 	}
 	return addrs
 }
+
+// conflictWith answers the transactions of the last event as conflicts with a row, and
+// returns the version that the next transaction requires of it; zero if there is none.
+func (h *entryHarness) conflictWith(row table.Row) (version uint64) {
+	for _, c := range allOf[core.Commit](h) {
+		h.post(core.CommitAnswered{Token: c.Token, Result: table.Result{Revision: row.Version, Conflicts: []table.Row{row}}})
+	}
+	h.now = h.now.Add(time.Second)
+	if len(allOf[core.Commit](h)) == 0 {
+		h.post(core.Tick{})
+	}
+	for _, c := range allOf[core.Commit](h) {
+		for _, cond := range c.Txn.Conds {
+			if cond.Key == row.Key {
+				version = cond.Version
+			}
+		}
+	}
+	return version
+}
+
+// An odd row of a worker's fence or of a job made each transaction that it was a condition
+// of conflict for good: nothing was placed any more, since jobs share transactions.
+func TestOddRowBlocksNoTransaction(t *testing.T) {
+	for _, key := range []string{core.PrefixFence + "w", keyOfJob(testJob)} {
+		h := newEntryHarness(t)
+		row := goodJob()
+		h.readShardsWith(h.row(keyOfJob(testJob), row))
+		h.rev += 50
+		h.sendHeartbeat(8)
+		assert.Assert(t, len(allOf[core.Commit](h)) > 0)
+		odd := table.Row{Key: key, Version: h.rev, Value: []byte("odd")}
+		assert.Equal(t, h.conflictWith(odd), odd.Version, key)
+	}
+}
+
+// A submission under the key of an odd row gets no definite answer, and those beside it are
+// accepted.
+func TestOddRowBlocksNoOtherSubmission(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	commits := allOf[core.Commit](h)
+	assert.Equal(t, len(commits), 1)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{
+		Verb: core.JobSubmit, Path: "/q/other", Deadline: h.now.Add(10 * time.Second), Spec: goodJob().Spec,
+	}})
+	h.post(core.CommitAnswered{Token: commits[0].Token, Result: table.Result{
+		Conflicts: []table.Row{{Key: keyOfJob(testJob), Version: h.rev, Value: []byte("odd")}},
+	}})
+	outcomes := map[core.Token]core.JobOutcome{}
+	for range 5 {
+		for _, r := range allOf[core.JobReply](h) {
+			outcomes[r.Token] = r.Answer.Outcome
+		}
+		for _, c := range allOf[core.Commit](h) {
+			for _, w := range c.Txn.Writes {
+				assert.Assert(t, w.Key != keyOfJob(testJob), "the odd row is written")
+			}
+			h.rev++
+			h.post(core.CommitAnswered{Token: c.Token, Result: table.Result{Committed: true, Revision: h.rev}})
+			for _, r := range allOf[core.JobReply](h) {
+				outcomes[r.Token] = r.Answer.Outcome
+			}
+		}
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.post(core.Tick{})
+	}
+	assert.DeepEqual(t, outcomes, map[core.Token]core.JobOutcome{77: core.JobUnknown, 78: core.JobAccepted})
+}
--- a/core/rowcheck.go
+++ b/core/rowcheck.go
@@ -87,3 +87,11 @@
 	}
 	return nil
 }
+
+// check checks that the row is of the worker of its key.
+func (r FenceRow) check(key string) error {
+	if key != keyFence(r.Worker) {
+		return errors.New("holds the fence of another worker")
+	}
+	return nil
+}
