--- a/core/agentepoch.go
+++ b/core/agentepoch.go
@@ -7,25 +7,25 @@
 // answers therefore settles all calls of earlier epochs: they have taken effect by then and
 // its lists show it, or they never will.
 type callEpochs struct {
-	current    uint64 // of calls sent now
-	unanswered bool   // a call of the current epoch got no answer
+	current      uint64    // of calls sent now
+	unanswered   bool      // a call of the current epoch got no answer
+	unansweredAt time.Time // when a call of this boot last got no answer; zero if none did
 	// grantLost says that calls that extend the lease got no answer; lostGrant is the highest
-	// of their epochs, and grantLostAt when that of the latest was given up.
-	grantLost   bool
-	lostGrant   uint64
-	grantLostAt time.Time
-	inspection  uint64 // of the latest inspection
-	settled     uint64 // calls of lower epochs are settled
+	// of their epochs.
+	grantLost  bool
+	lostGrant  uint64
+	inspection uint64 // of the latest inspection
+	settled    uint64 // calls of lower epochs are settled
 }
 
 // noteUnanswered records that a call got no answer: it may take effect later.
-func (c *callEpochs) noteUnanswered(epoch uint64) {
-	c.unanswered = c.unanswered || epoch == c.current
+func (c *callEpochs) noteUnanswered(epoch uint64, now time.Time) {
+	c.unanswered, c.unansweredAt = c.unanswered || epoch == c.current, now
 }
 
 // noteGrantLost records that a call that extends the lease got no answer.
-func (c *callEpochs) noteGrantLost(epoch uint64, now time.Time) {
-	c.grantLost, c.lostGrant, c.grantLostAt = true, max(c.lostGrant, epoch), now
+func (c *callEpochs) noteGrantLost(epoch uint64) {
+	c.grantLost, c.lostGrant = true, max(c.lostGrant, epoch)
 }
 
 // mayExtendLate reports whether a call may still extend the lease later than it was sent.
--- a/core/agentevent.go
+++ b/core/agentevent.go
@@ -25,6 +25,9 @@
 	// CopyLost says that an earlier copy of the call got no answer and may take effect
 	// later.
 	CopyLost bool
+	// Unread lists the tasks whose state the worker may have reported in a form that can't
+	// be read. They are not among Tasks.
+	Unread []TaskID
 	// Draining says that the worker will leave and accepts no new work.
 	Draining bool
 	// Rack and Labels are as the worker reports them. If Rack is empty, that of
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -45,22 +45,22 @@
 	if ev.Fault != FaultNoAnswer && !ev.CopyLost {
 		return
 	}
-	a.calls.noteUnanswered(a.calls.inspection)
+	a.calls.noteUnanswered(a.calls.inspection, a.at.Now)
 	if !a.inspectDeadline.IsZero() {
-		a.calls.noteGrantLost(a.calls.inspection, a.at.Now)
+		a.calls.noteGrantLost(a.calls.inspection)
 	}
 }
 
 // copyAnswerTime is the time within which a worker answers a call unless something is wrong.
 const copyAnswerTime = 300 * time.Millisecond
 
-// mayOutliveAgent reports whether calls to the worker that extend its lease may take effect
-// late, if this was the agent's last heartbeat: some have got no answer of late, or none yet.
+// mayOutliveAgent reports whether calls to the worker may take effect late if this is the
+// agent's last heartbeat: some have got no answer of late, or none yet.
 func (a *Agent) mayOutliveAgent() bool {
 	if !a.pol.FencedCalls {
 		return false
 	}
-	if a.calls.mayExtendLate() || a.calls.grantLost && a.at.Now.Sub(a.calls.grantLostAt) < maxCallDelay {
+	if lost := a.calls.unansweredAt; !lost.IsZero() && a.at.Now.Sub(lost) < maxCallDelay {
 		return true
 	}
 	if a.inspecting && !a.inspectDeadline.IsZero() && a.at.Now.Sub(a.inspectStartedAt) > copyAnswerTime {
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -253,8 +253,8 @@
 // by a later inspection, or by the launch's deadline.
 func (a *Agent) handleLaunched(ev Launched) {
 	if ev.Fault == FaultNoAnswer || ev.CopyLost {
-		a.calls.noteUnanswered(ev.Epoch)
-		a.calls.noteGrantLost(ev.Epoch, a.at.Now)
+		a.calls.noteUnanswered(ev.Epoch, a.at.Now)
+		a.calls.noteGrantLost(ev.Epoch)
 	}
 	t := a.held[ev.Attempt.Task]
 	if !t.isLaunchedBy(ev) {
@@ -359,7 +359,7 @@
 // worker again after a stop.
 func (a *Agent) handleControlled(ev Controlled) {
 	if ev.Fault == FaultNoAnswer || ev.CopyLost {
-		a.calls.noteUnanswered(ev.Epoch)
+		a.calls.noteUnanswered(ev.Epoch, a.at.Now)
 	}
 	if ev.Verb == VerbStop && ev.Fault == FaultNone && !a.inspecting {
 		a.inspect()
