core: complete a task by the end of its last attempt only

Change: the end of a run that was reported as lost counts while no further attempt was handed out. The work of one that was refused meanwhile is done again, as before.

--- a/core/edit.go
+++ b/core/edit.go
@@ -142,12 +142,12 @@
 	return end.Kind == EndCrashed && !t.State.Final() && !slices.Contains(t.CrashedIn, end.Attempt.Number)
 }
 
-// lacksCompletion reports whether a task waits to run again though the end says that an
-// attempt is done. Its agent may have reported it as lost before it learnt that.
+// lacksCompletion reports whether a task waits to run again though the end says that its
+// last attempt is done. Its agent may have reported it as lost before it learnt that.
 func (r *JobRow) lacksCompletion(end End) bool {
 	n := end.Attempt.Task.N
 	t := &r.Tasks[n]
-	return end.Kind == EndDone && t.State == TaskWaiting && t.Attempt >= end.Attempt.Number && !r.Spec.Step(n).LongRunning
+	return end.Kind == EndDone && t.State == TaskWaiting && t.Attempt == end.Attempt.Number && !r.Spec.Step(n).LongRunning
 }
 
 // isOver reports whether an attempt no longer holds the claim of its task, and its end changes
