core: refuse every copy of a command that was refused

Callers saw a command answered as refused ("unknown job") though it took effect: a copy that was refused before its job was stored, and another one that was carried out after it. Cause: a refusal was not recorded under the command's id. Besides, a submission whose transaction got no answer could be refused when it was planned again. Change: the client says that a command was never sent before (DoRequest.first); its entry remembers the refusal for a minute. A refusal of any other command, or after a lost answer, is recorded under its id first, on the condition that no copy has taken effect, unless every copy meets it anyway. Recorded refusals are removed after the retention period. An entry of an earlier release reads such a row as "the id was used by another command". The oracle now holds each final refusal against all copies, also those of commands that were sent again.

--- a/cmd/jayloft/ask.go
+++ b/cmd/jayloft/ask.go
@@ -96,6 +96,7 @@
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	res, err := c.Do(ctx, connect.NewRequest(req))
+	req.First = false
 	if err != nil {
 		s.lastErr = err
 		if connected.Load() && mayHaveRun(err) {
--- a/cmd/jayloft/query.go
+++ b/cmd/jayloft/query.go
@@ -114,7 +114,7 @@
 	ids := c.ids(len(stmts))
 	a := newStatementClient(c.entries)
 	for i, s := range stmts {
-		req := &wire.DoRequest{Id: ids[i], Statement: s.Text, Operator: operator()}
+		req := &wire.DoRequest{Id: ids[i], Statement: s.Text, Operator: operator(), First: c.id == ""}
 		if status := show.print(req, c.ask(ctx, a, s, req)); status != subcommands.ExitSuccess {
 			if i+1 < len(stmts) {
 				printf(errs, "%s:%d: stopped here; %d statements were not run\n", c.file, s.Line, len(stmts)-i-1)
--- a/core/agentserve.go
+++ b/core/agentserve.go
@@ -22,8 +22,8 @@
 type serveState struct {
 	running     map[RequestID]*admittedRequest
 	queue       []*admittedRequest
-	answers     answerLog                // by request id: answers, and guarantees never to run
-	tries       answerLog                // by try: refusals, and the fact that a request has run
+	answers     answerLog[ServeAnswer]   // by request id: answers, and guarantees never to run
+	tries       answerLog[ServeAnswer]   // by try: refusals, and the fact that a request has run
 	means       map[string]time.Duration // mean service time, by service
 	recentMeans map[string]recentMean    // of the current interval, by service
 }
@@ -39,7 +39,7 @@
 func (s *serveState) init() {
 	s.running = map[RequestID]*admittedRequest{}
 	s.queue = nil
-	s.answers, s.tries = answerLog{}, answerLog{}
+	s.answers, s.tries = answerLog[ServeAnswer]{}, answerLog[ServeAnswer]{}
 	s.recentMeans = map[string]recentMean{}
 	if s.means == nil {
 		s.means = map[string]time.Duration{}
--- a/core/answerlog.go
+++ b/core/answerlog.go
@@ -3,8 +3,8 @@
 import "time"
 
 // answerLog remembers answers until they expire. The zero value is empty.
-type answerLog struct {
-	answers map[string]ServeAnswer
+type answerLog[A any] struct {
+	answers map[string]A
 	expiry  []answerExpiry // oldest first
 }
 
@@ -16,9 +16,9 @@
 // put stores an answer until a time. All answers of a log must have the same
 // retention: expired ones, and those in excess of maxAnswers, are removed oldest
 // first.
-func (l *answerLog) put(key string, ans ServeAnswer, now, until time.Time) {
+func (l *answerLog[A]) put(key string, ans A, now, until time.Time) {
 	if l.answers == nil {
-		l.answers = map[string]ServeAnswer{}
+		l.answers = map[string]A{}
 	}
 	if _, ok := l.answers[key]; !ok {
 		l.expiry = append(l.expiry, answerExpiry{key, until})
--- a/core/entry.go
+++ b/core/entry.go
@@ -66,6 +66,7 @@
 	nextInterference       time.Time      // when it is next stored; zero until the stored row was requested
 
 	commands    map[string]*command       // commands that change something, by id
+	refusals    refusalLog                // of commands
 	jobRequests map[Token]*openJobRequest // by the token of the event
 
 	leaving       bool
@@ -107,6 +108,7 @@
 		hedges:     limit.NewBudget(pol.HedgeShare, hedgeBurst),
 		retryShare: pol.RetryShare, hedgeShare: pol.HedgeShare,
 		commands:    map[string]*command{},
+		refusals:    refusalLog{recorded: map[string]time.Time{}},
 		jobRequests: map[Token]*openJobRequest{},
 	}
 }
--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -29,12 +29,14 @@
 	deadline      time.Time
 	retryAt       time.Time // when to retry after a fault; zero while an answer is awaited
 	tries         int
+	first         bool   // no other entry can have a copy of it
 	everSent      bool   // some transaction may have taken effect
 	targetVersion uint64 // version of the changed row at the first read
 	targetRead    bool   // targetVersion is set
 	version       uint64 // of the configuration that the transaction makes
 	reply         string // text of the result
 	job           *JobRow
+	refusal       *CommandResult // in the transaction, which changes nothing else; nil if there is none
 }
 
 // pendingCommand awaits a read or a transaction of a command.
@@ -64,11 +66,19 @@
 		e.handleWhyAsked(ev.Token, cmd)
 		return
 	}
+	if r, ok := e.refusals.find(ev); ok {
+		e.replyCommand(ev.Token, r)
+		return
+	}
 	if reason := e.checkCommand(); reason != ReasonNone {
 		e.count("command", reason)
-		e.replyCommand(ev.Token, CommandResult{
+		r := CommandResult{
 			Outcome: CommandRefused, Text: commandRefusalText[reason], Version: e.config.changes, RetryAfter: e.storeRetryAfter(),
-		})
+		}
+		if ev.First {
+			e.refusals.remember(ev.ID, r, e.at.Now)
+		}
+		e.replyCommand(ev.Token, r)
 		return
 	}
 	if c := e.commands[ev.ID]; c != nil {
@@ -77,9 +87,12 @@
 			return
 		}
 		c.tokens = append(c.tokens, ev.Token)
+		c.first = c.first && ev.First
 		return
 	}
-	c := &command{id: ev.ID, text: ev.Text, cmd: ev.Command, tokens: []Token{ev.Token}, deadline: e.at.Now.Add(commandTimeout)}
+	c := &command{
+		id: ev.ID, text: ev.Text, cmd: ev.Command, tokens: []Token{ev.Token}, deadline: e.at.Now.Add(commandTimeout), first: ev.First,
+	}
 	e.commands[ev.ID] = c
 	e.readCommand(c)
 }
@@ -201,13 +214,13 @@
 		return
 	}
 	if c.targetRead && c.targetVersion != target.Version && c.losesRace() {
-		e.reportLostRace(c, ver, target)
+		e.refuse(c, lostRace(ver, target))
 		return
 	}
 	c.targetRead, c.targetVersion = true, target.Version
 	p, refused := e.plan(c, ver, target)
 	if refused != nil {
-		e.finishCommand(c, *refused)
+		e.refuse(c, *refused)
 		return
 	}
 	if !e.allowWrite(limit.PriorityHigh) {
@@ -225,25 +238,29 @@
 	return !cancels
 }
 
-// replayCommand answers a command that took effect earlier with its recorded result.
+// replayCommand answers a command with the result that is recorded under its id.
 func (e *Entry) replayCommand(c *command, op table.Row) {
 	rec, err := Decode(op.Key, op.Value)
 	row, ok := rec.(OpRow)
-	if err != nil || !ok || row.Stmt != c.text {
+	switch {
+	case err == nil && ok && row.Refused != "" && row.RefusedStmt == c.text:
+		e.refusals.recorded[c.id] = e.at.Now
+		e.finishCommand(c, CommandResult{Outcome: row.Refused, Text: row.Text, Version: row.Version})
+	case err == nil && ok && row.Refused == "" && row.Stmt == c.text:
+		e.finishCommand(c, CommandResult{Outcome: CommandDone, Text: row.Text, Version: row.Version})
+	default:
 		e.finishCommand(c, CommandResult{Outcome: CommandRefused, Text: "the id was used by another command"})
-		return
 	}
-	e.finishCommand(c, CommandResult{Outcome: CommandDone, Text: row.Text, Version: row.Version})
 }
 
-// reportLostRace answers a command whose row was changed by another command since the
-// first read.
-func (e *Entry) reportLostRace(c *command, ver, target table.Row) {
+// lostRace returns the refusal of a command whose row was changed by another command
+// since the first read.
+func lostRace(ver, target table.Row) refusal {
 	text := "another command came first: " + target.Key + " has changed"
 	if rec, err := Decode(target.Key, target.Value); err == nil && target.Version > 0 {
 		text = fmt.Sprintf("another command came first: %s is now %s", target.Key, describeRow(rec))
 	}
-	e.finishCommand(c, CommandResult{Outcome: CommandConflict, Text: text, Version: versionOf(ver)})
+	return refusal{result: CommandResult{Outcome: CommandConflict, Text: text, Version: versionOf(ver)}}
 }
 
 // versionOf returns the number in the row KeyVersion; zero if there is none yet.
@@ -285,7 +302,7 @@
 // sendCommand sends a command's transaction: the changed row, the raised version if
 // the row is part of the configuration, and the command's result.
 func (e *Entry) sendCommand(c *command, p plan, ver, target table.Row) {
-	c.reply, c.version = p.text, versionOf(ver)
+	c.reply, c.version, c.refusal = p.text, versionOf(ver), nil
 	conds := []table.Cond{{Key: target.Key, Version: target.Version}}
 	recs := []Record{p.rec}
 	keys := []string{target.Key}
@@ -319,6 +336,9 @@
 		e.finishCommand(c, CommandResult{Outcome: CommandRefused, Text: commandRefusalText[ReasonStore]})
 	case ev.Fault != FaultNone:
 		c.retryAt = latest(e.breaker.NextProbe(e.at.Now), e.at.Now.Add(minWake))
+	case ev.Result.Committed && c.refusal != nil:
+		e.refusals.recorded[c.id] = e.at.Now
+		e.finishCommand(c, *c.refusal)
 	case ev.Result.Committed:
 		e.commandDone(c, ev.Result.Revision)
 	case c.tries >= maxCommandRetries:
--- a/core/entryevent.go
+++ b/core/entryevent.go
@@ -95,6 +95,9 @@
 	ID      string
 	Text    string // the statement as written
 	Command Command
+	// First says that the command was not sent before: as long as it isn't sent again, no
+	// copy of it can arrive at another entry.
+	First bool
 }
 
 func (Tick) entryEvent()              {}
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -251,6 +251,8 @@
 		e.handleFenceAnswered(w, ev)
 	case pendingCommand:
 		e.handleCommandAnswered(w.c, ev)
+	case pendingRefusals:
+		e.handleRefusalsRemoved(w.ids, ev)
 	case pendingLeave:
 		e.deregistered = true
 	}
--- a/core/entryretention.go
+++ b/core/entryretention.go
@@ -43,6 +43,7 @@
 		return
 	}
 	e.nextRetention = e.at.Now.Add(retentionInterval)
+	e.removeRefusals()
 	var txn table.Txn
 	for _, id := range e.expiredJobs() {
 		j := e.jobs[id]
--- a/core/rows.go
+++ b/core/rows.go
@@ -264,13 +264,18 @@
 }
 
 // OpRow records the result of a command in the same transaction as its changes, so
-// that a repeated command is not applied twice.
+// that a repeated command is not applied twice. A refusal is recorded if another copy of
+// the command might be carried out otherwise.
 type OpRow struct {
 	ID      string  `cbor:"1,keyasint"`
 	Text    string  `cbor:"2,keyasint,omitempty"`
 	Version uint64  `cbor:"3,keyasint,omitempty"`
 	By      EntryID `cbor:"4,keyasint,omitempty"`
 	Stmt    string  `cbor:"5,keyasint,omitempty"` // the statement, to detect another command with the same id
+	// Refused is set if the command was refused and changed nothing. The statement is in
+	// RefusedStmt then, so that entries that don't read Refused don't take it for done.
+	Refused     CommandOutcome `cbor:"6,keyasint,omitempty"`
+	RefusedStmt string         `cbor:"7,keyasint,omitempty"`
 }
 
 // Record is one of the row types above.
--- a/fake/client.go
+++ b/fake/client.go
@@ -26,7 +26,8 @@
 type operation struct {
 	id      string
 	cmd     core.Command
-	sent    int
+	tries   int // how often the client has sent it
+	sent    int // how often a copy has arrived
 	results []core.CommandResult
 }
 
@@ -74,13 +75,15 @@
 		c.w.after(time.Second, func() { c.attempt(n+1, p) })
 		return
 	}
+	p.tries++
+	first := p.tries == 1
 	send(c.w, request[core.CommandResult]{
 		from: c.proc, to: e.proc, limit: commandLimit,
 		serve: func(reply func(core.CommandResult)) {
 			p.sent++
 			t := c.w.nextToken()
 			e.commands[t] = reply
-			e.reduce(core.CommandAsked{Token: t, ID: p.id, Text: fmt.Sprintf("%+v", p.cmd), Command: p.cmd})
+			e.reduce(core.CommandAsked{Token: t, ID: p.id, Text: fmt.Sprintf("%+v", p.cmd), Command: p.cmd, First: first})
 		},
 		done: func(r core.CommandResult, f core.Fault) { c.answered(n, p, r, f) },
 	})
@@ -133,12 +136,15 @@
 	return core.VersionCond{}
 }
 
-// opWritten checks that a command takes effect only if no answer denied it.
-// A command that the client has sent again since then is not held to that.
+// opWritten checks that a command takes effect only if no final answer denied it, and not
+// while its only copy was answered with a refusal. The record of a refusal is no effect.
 func (o *Oracle) opWritten(r core.OpRow) {
+	if r.Refused != "" {
+		return
+	}
 	o.ops[r.ID] = r
 	p := o.commands[r.ID]
-	if p == nil || p.sent > len(p.results) {
+	if p == nil {
 		return
 	}
 	for _, res := range p.results {
--- a/io/callers_test.go
+++ b/io/callers_test.go
@@ -134,7 +134,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := httptest.NewRequest(http.MethodPost, tc.url, nil)
 			r.Header.Set("Content-Type", tc.kind)
-			spec, found := parseSpec(r, []byte(tc.body))
+			spec, _, found := parseSpec(r, []byte(tc.body))
 			assert.DeepEqual(t, found, tc.wrong)
 			if len(found) == 0 {
 				assert.DeepEqual(t, spec, tc.want)
--- a/io/entryrpc.go
+++ b/io/entryrpc.go
@@ -69,11 +69,11 @@
 	if err != nil {
 		return connect.NewResponse(invalidStatement(err)), nil
 	}
-	id := r.Msg.GetId()
+	id, first := r.Msg.GetId(), r.Msg.GetFirst()
 	if id == "" {
-		id = rand.Text()
+		id, first = rand.Text(), true
 	}
-	res := h.s.do(ctx, core.CommandAsked{ID: id, Text: src, Command: cmd})
+	res := h.s.do(ctx, core.CommandAsked{ID: id, Text: src, Command: cmd, First: first})
 	return connect.NewResponse(codec.ResultToWire(res)), nil
 }
 
--- a/io/fuzz_test.go
+++ b/io/fuzz_test.go
@@ -50,7 +50,7 @@
 		r := httptest.NewRequest(http.MethodPost, "/v1/jobs", nil)
 		r.Header.Set("Content-Type", kind)
 		r.URL.RawQuery = query
-		spec, found := parseSpec(r, body)
+		spec, _, found := parseSpec(r, body)
 		if len(found) > 0 {
 			return
 		}
--- a/io/jobs.go
+++ b/io/jobs.go
@@ -50,7 +50,7 @@
 	if !ok {
 		return
 	}
-	spec, found := parseSpec(r, b)
+	spec, generated, found := parseSpec(r, b)
 	if len(found) > 0 {
 		writeProblem(w, http.StatusBadRequest, Problem{
 			Outcome: core.OutcomeRefused, ID: string(spec.ID), Findings: found,
@@ -63,7 +63,7 @@
 		return
 	}
 	res := s.do(r.Context(), core.CommandAsked{
-		ID: "job/" + string(spec.ID), Text: string(text), Command: core.CreateJob{Spec: spec},
+		ID: "job/" + string(spec.ID), Text: string(text), Command: core.CreateJob{Spec: spec}, First: generated,
 	})
 	w.Header().Set(HeaderID, string(spec.ID))
 	setRetryAfter(w.Header(), res.RetryAfter)
@@ -88,10 +88,9 @@
 }
 
 // parseSpec parses a submission with a JSON or CSV body and returns findings for
-// all errors. A job without an id gets a random one.
-func parseSpec(r *http.Request, b []byte) (core.JobSpec, []Finding) {
+// all errors. A job without an id gets a random one, and generated is true.
+func parseSpec(r *http.Request, b []byte) (spec core.JobSpec, generated bool, found []Finding) {
 	f := findings{}
-	var spec core.JobSpec
 	decoded := true
 	kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
 	switch {
@@ -101,18 +100,18 @@
 		spec, decoded = f.parseJSON(b)
 	default:
 		f.add("Content-Type", "is neither application/json nor text/csv")
-		return spec, f.list
+		return spec, false, f.list
 	}
 	if spec.ID == "" {
 		spec.ID = core.JobID(f.asciiName(HeaderID, r.Header.Get(HeaderID)))
 	}
 	if spec.ID == "" {
-		spec.ID = core.JobID(rand.Text())
+		spec.ID, generated = core.JobID(rand.Text()), true
 	}
 	if decoded {
 		f.checkSpec(spec)
 	}
-	return spec, f.list
+	return spec, generated, f.list
 }
 
 // parseJSON parses a submission with a JSON body. It returns false after a syntax
