core: cancel a job whose submission is in progress

A caller without an answer to its submission cancelled the job and was told that there is no such job (410); the job was stored a moment later and ran. Cause: the cancellation was served from a read of the row, though the entry itself had the job's transaction in flight. Change: a submission that was never sent to the table is withdrawn by the cancellation; any other is cancelled in the transaction after the one that stores it, and both are answered then. The same holds if the submission arrives while the row is read. A copy of the submission that is in flight to another entry isn't covered.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -474,3 +474,56 @@
 	}
 	t.Fatal("the second submission does not see that the job is stored")
 }
+
+// A job is cancelled while the transaction that stores it is in flight. The caller must not
+// be told that there is no such job: it would be stored and run.
+func TestCancelOfJobThatIsBeingStored(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	create := mustFind[core.Commit](h)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	if r, ok := find[core.ReadRows](h); ok {
+		h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	}
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Committed: true, Revision: 20}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 77, Answer: core.JobAnswer{Outcome: core.JobAccepted}})
+	cancel := mustFind[core.Commit](h)
+	rec, err := core.Decode(cancel.Txn.Writes[0].Key, cancel.Txn.Writes[0].Value)
+	assert.NilError(t, err)
+	row, ok := rec.(core.JobRow)
+	assert.Assert(t, ok && row.Cancel)
+	h.post(core.CommitAnswered{Token: cancel.Token, Result: table.Result{Committed: true, Revision: 21}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 78, Answer: core.JobAnswer{Outcome: core.JobAccepted}})
+}
+
+// A job is submitted while the row of a cancellation of it is being read. The cancellation
+// must not be answered before the submission.
+func TestCancelOfJobThatArrivesDuringTheRead(t *testing.T) {
+	h := newEntryHarness(t)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	r := mustFind[core.ReadRows](h)
+	h.submit()
+	h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+}
+
+// A submission that was not sent to the table is withdrawn when its job is cancelled.
+func TestCancelWithdrawsUnsentSubmission(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit() // its transaction is in flight, so that the next one waits
+	const other = "/q/fedcba9876543210"
+	steps := []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}
+	h.post(core.JobRequested{Token: 80, Request: core.JobRequest{
+		Verb: core.JobSubmit, Path: other, Spec: core.JobSpec{Steps: steps}, Deadline: h.now.Add(time.Second),
+	}})
+	h.post(core.JobRequested{Token: 81, Request: core.JobRequest{Verb: core.JobStop, Path: other, Deadline: h.now.Add(time.Second)}})
+	submitted := mustFind[core.JobReply](h)
+	assert.Equal(t, submitted.Token, core.Token(80))
+	assert.Equal(t, submitted.Answer.Outcome, core.JobRefused)
+	r := mustFind[core.ReadRows](h)
+	h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 81, Answer: core.JobAnswer{Outcome: core.JobNotFound}})
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -213,6 +213,9 @@
 // lookUpOrCancel answers from memory if the job's row is known and, for its state, recent
 // enough. Otherwise it reads the row: only a read proves that there is no such job.
 func (e *Entry) lookUpOrCancel(jr *openJobRequest) {
+	if jr.Verb == JobStop && e.cancelUnstored(jr) {
+		return
+	}
 	j := e.jobs[jr.Spec.ID]
 	if j != nil && j.row.stored && (jr.Verb == JobStop || e.isCurrent(j)) {
 		e.serveFromRow(jr, j)
@@ -225,6 +228,19 @@
 	e.emit(ReadRows{Token: e.expect(pendingJobLookup{jr}), Keys: []string{keyJob(jr.Spec.ID)}})
 }
 
+// cancelUnstored cancels a job whose submission is in progress at this entry. A submission
+// that was never sent to the table is withdrawn; any other is cancelled once it is stored, as
+// a read of the row would not show it yet. It reports whether it did the latter.
+func (e *Entry) cancelUnstored(jr *openJobRequest) bool {
+	j := e.jobs[jr.Spec.ID]
+	if j == nil || j.row.stored || j.row.Spec.Queue != jr.Spec.Queue || e.withdraw(jr) {
+		return false
+	}
+	j.waiters = append(j.waiters, jr)
+	e.addEdit(j, cancelJobEdit{})
+	return true
+}
+
 // handleJobLookup serves a request from the job's row as read from the table.
 func (e *Entry) handleJobLookup(jr *openJobRequest, ev RowsAnswered) {
 	if ev.Fault != FaultNone {
@@ -244,7 +260,9 @@
 		return
 	}
 	if r.Version == 0 {
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
+		if jr.Verb != JobStop || !e.cancelUnstored(jr) {
+			e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
+		}
 		return
 	}
 	e.applyJobRow(r)
