core: don't refuse a cancellation that may have taken effect

Callers saw a cancellation refused (503), which says that it has no effect, though the job was cancelled. Cause: the entry had passed the cancellation on and got no answer; it then could not serve the cancellation itself and refused it. Only submissions were answered as unknown in this case. Change: cancellations too are answered as unknown (504). Result: TestRelayedCancellationIsNeverRefused fails before, passes after.

--- a/core/ask.go
+++ b/core/ask.go
@@ -17,6 +17,9 @@
 	JobCount  JobVerb = "count" // counts the queue's jobs that have not started
 )
 
+// changes reports whether the operation changes something.
+func (v JobVerb) changes() bool { return v == JobSubmit || v == JobStop }
+
 // JobRequest is a request of a caller about a job of a queue.
 type JobRequest struct {
 	Verb JobVerb
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -146,6 +146,20 @@
 	assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobUnknown)
 }
 
+// A relayed cancellation without an answer may have taken effect: it is never refused either.
+func TestRelayedCancellationIsNeverRefused(t *testing.T) {
+	others := []core.EntryRow{}
+	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		others = append(others, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
+	}
+	h := newEntryHarness(t, others...)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	relay := mustFind[core.Relay](h)
+	h.loseRead()
+	h.post(core.RelayAnswered{Token: relay.Token, Fault: core.FaultNoAnswer})
+	assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobUnknown)
+}
+
 // At the caller's deadline, the outcome of a submission that may have been stored is
 // unknown.
 func TestSubmissionAtItsDeadline(t *testing.T) {
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -20,8 +20,8 @@
 	token Token
 	JobRequest
 	receivedAt time.Time
-	// maybeAccepted is set if another entry may have accepted the submission.
-	maybeAccepted bool
+	// maybeApplied is set if the request may take effect through another entry.
+	maybeApplied bool
 }
 
 // pendingRelay awaits another entry's answer to a relayed request.
@@ -136,7 +136,7 @@
 		return
 	}
 	e.count("relay", ReasonOwner)
-	q.jr.maybeAccepted = ev.Fault == FaultNoAnswer
+	q.jr.maybeApplied = ev.Fault == FaultNoAnswer
 	e.serveJobRequest(q.jr)
 }
 
@@ -307,12 +307,12 @@
 // answerJobRequest sends the final answer to a request.
 func (e *Entry) answerJobRequest(jr *openJobRequest, ans JobAnswer) {
 	delete(e.jobRequests, jr.token)
-	if jr.maybeAccepted && jr.Verb == JobSubmit && ans.Outcome == JobRefused {
+	if jr.maybeApplied && jr.Verb.changes() && ans.Outcome == JobRefused {
 		ans = JobAnswer{Outcome: JobUnknown, Reason: ans.Reason}
 	}
 	e.count("job."+string(jr.Verb)+"."+string(ans.Outcome), ans.Reason)
 	e.measure("job."+string(jr.Verb), jr.receivedAt)
-	if jr.Verb == JobSubmit || jr.Verb == JobStop {
+	if jr.Verb.changes() {
 		e.logEvent("job "+string(jr.Verb), string(jr.Spec.ID), "outcome", string(ans.Outcome), "reason", string(ans.Reason),
 			"queue", jr.Spec.Queue, "relayed", jr.Relayed, "retry", ans.RetryAfter.String(), "config", e.config.changes)
 	}
