core: remember requests whose callers hang up

A caller that hung up on a request that is not idempotent, and sent it again with the same id, had it run twice: the entry sent the second one to another endpoint while the first could still run. Cause: only answered requests were remembered, to recognise their ids. Idempotent requests are served again as before.

--- a/core/breaks_test.go
+++ b/core/breaks_test.go
@@ -12,7 +12,7 @@
 )
 
 // newServiceHarness returns an entry that hears five workers with endpoints of an
-// idempotent service.
+// idempotent service, and of another one.
 func newServiceHarness(t *testing.T) *entryHarness {
 	h := newEntryHarness(t)
 	h.rev++
@@ -21,11 +21,12 @@
 	h.answerReads(map[string][]table.Row{core.PrefixConfig: {
 		h.row(core.KeyVersion, core.VersionRow{N: 2}),
 		h.row(core.PrefixConfig+"service/lookup", core.ServiceRow{Name: "lookup", Idempotent: true, Timeout: time.Minute}),
+		h.row(core.PrefixConfig+"service/order", core.ServiceRow{Name: "order", Timeout: time.Minute}),
 	}})
 	for i := range 5 {
 		h.post(core.HeartbeatReceived{Token: 1, Heartbeat: core.Heartbeat{
 			Worker: core.WorkerID(fmt.Sprint("w", i)), Inc: "i", Run: "r", DC: "dc", Sent: h.now, Slots: 8,
-			Capacity: core.Size{Millicores: 8000, MemoryMB: 8000}, Services: []core.ServiceLoad{{Service: "lookup"}},
+			Capacity: core.Size{Millicores: 8000, MemoryMB: 8000}, Services: []core.ServiceLoad{{Service: "lookup"}, {Service: "order"}},
 		}})
 	}
 	return h
@@ -64,3 +65,29 @@
 	assert.Equal(t, tries, 3)
 	assert.Equal(t, ans.Outcome, core.OutcomeUnknown)
 }
+
+// The caller of a request that is not idempotent hangs up, and sends the request again with
+// the same id. The first copy may still run: no second one may be sent to an endpoint.
+func TestAbandonedRequestIsNotSentAgain(t *testing.T) {
+	h := newServiceHarness(t)
+	q := core.Request{ID: "q", Service: "order", Deadline: h.now.Add(30 * time.Second)}
+	h.post(core.RequestArrived{Request: q})
+	mustFind[core.Serve](h)
+	h.post(core.RequestAbandoned{ID: q.ID})
+	h.post(core.RequestArrived{Request: q})
+	_, sent := find[core.Serve](h)
+	assert.Assert(t, !sent, "sent to a second endpoint")
+	ans := mustFind[core.Answer](h)
+	assert.Equal(t, ans.Outcome, core.OutcomeUnknown)
+	assert.Equal(t, ans.Reason, core.ReasonDuplicate)
+}
+
+// An idempotent request that was abandoned is served when it is sent again.
+func TestAbandonedIdempotentRequestIsServedAgain(t *testing.T) {
+	h := newServiceHarness(t)
+	q := core.Request{ID: "q", Service: "lookup", Deadline: h.now.Add(30 * time.Second)}
+	h.post(core.RequestArrived{Request: q})
+	h.post(core.RequestAbandoned{ID: q.ID})
+	h.post(core.RequestArrived{Request: q})
+	mustFind[core.Serve](h)
+}
--- a/core/entryreq.go
+++ b/core/entryreq.go
@@ -286,7 +286,8 @@
 }
 
 // handleRequestAbandoned drops a request whose caller no longer waits, and revokes its
-// calls so that a queued copy is not run.
+// calls so that a queued copy is not run. The request is remembered, since a copy that is
+// running goes on.
 func (e *Entry) handleRequestAbandoned(id RequestID) {
 	r := e.requests[id]
 	if r == nil {
@@ -295,6 +296,11 @@
 	delete(e.requests, id)
 	r.sv.gate.Done(e.at.Now, string(r.Team))
 	e.count("gone", ReasonRevoked)
+	ans := Answer{ID: id, Outcome: OutcomeRefused, Reason: ReasonRevoked, Tries: r.tries}
+	if r.mayHaveRun || r.failure != nil || len(r.calls) > 0 {
+		ans.Outcome = OutcomeUnknown
+	}
+	e.recent.add(r, ans, e.at.Now)
 	for _, c := range r.calls {
 		e.emit(Revoke{Call: e.expect(pendingIgnored{}), Addr: c.addr, Run: c.run, ID: id, Deadline: r.Deadline})
 	}
