core: let the state of a job wait for its submission

A caller without an answer to its submission asked for the job and was told that there is no such job (410); the job was stored a moment later. A caller that submits its work again under another id then has it done twice. Cause: the state was served from a read of the row, though the entry itself had the job's transaction in flight. Change: the request waits until the job is stored, or until its deadline, like a cancellation. While the table does not answer, both are refused at once. Result: TestStateOfJobThatIsBeingStored fails before, passes after; so does TestRequestsOfJobThatIsBeingStoredInOutage for cancellations.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -541,3 +541,41 @@
 	h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
 	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 81, Answer: core.JobAnswer{Outcome: core.JobNotFound}})
 }
+
+// A caller without an answer to its submission asks for the job while the transaction that
+// stores it is in flight. It must not be told that there is no such job: it would submit its
+// work again.
+func TestStateOfJobThatIsBeingStored(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	create := mustFind[core.Commit](h)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobGet, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	if r, ok := find[core.ReadRows](h); ok {
+		h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	}
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Committed: true, Revision: 20}})
+	var replies []core.JobReply
+	for _, eff := range h.out {
+		if r, ok := eff.(core.JobReply); ok {
+			replies = append(replies, r)
+		}
+	}
+	assert.DeepEqual(t, replies, []core.JobReply{
+		{Token: 77, Answer: core.JobAnswer{Outcome: core.JobAccepted}},
+		{Token: 78, Answer: core.JobAnswer{Outcome: core.JobAccepted, State: core.JobQueued}},
+	})
+}
+
+// While the table does not answer, requests about a job that is being stored are refused at
+// once.
+func TestRequestsOfJobThatIsBeingStoredInOutage(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	h.loseRead()
+	for _, verb := range []core.JobVerb{core.JobGet, core.JobStop} {
+		h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: verb, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+		assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobRefused)
+	}
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -211,11 +211,9 @@
 }
 
 // lookUpOrCancel answers from memory if the job's row is known and, for its state, recent
-// enough. Otherwise it reads the row: only a read proves that there is no such job.
+// enough, and waits for a submission in progress. Otherwise it reads the row: only a read
+// proves that there is no such job.
 func (e *Entry) lookUpOrCancel(jr *openJobRequest) {
-	if jr.Verb == JobStop && e.cancelUnstored(jr) {
-		return
-	}
 	j := e.jobs[jr.Spec.ID]
 	if j != nil && j.row.stored && (jr.Verb == JobStop || e.isCurrent(j)) {
 		e.serveFromRow(jr, j)
@@ -225,19 +223,27 @@
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: ReasonStore, RetryAfter: e.storeRetryAfter()})
 		return
 	}
+	if e.awaitStored(jr) {
+		return
+	}
 	e.emit(ReadRows{Token: e.expect(pendingJobLookup{jr}), Keys: []string{keyJob(jr.Spec.ID)}})
 }
 
-// cancelUnstored cancels a job whose submission is in progress at this entry. A submission
-// that was never sent to the table is withdrawn; any other is cancelled once it is stored, as
-// a read of the row would not show it yet. It reports whether it did the latter.
-func (e *Entry) cancelUnstored(jr *openJobRequest) bool {
+// awaitStored lets a request wait for a submission of its job that is in progress at this
+// entry, as a read of the row would not show the job yet. A cancellation withdraws a
+// submission that was never sent to the table. It reports whether the request waits.
+func (e *Entry) awaitStored(jr *openJobRequest) bool {
 	j := e.jobs[jr.Spec.ID]
-	if j == nil || j.row.stored || j.row.Spec.Queue != jr.Spec.Queue || e.withdraw(jr) {
+	if j == nil || j.row.stored || j.row.Spec.Queue != jr.Spec.Queue {
+		return false
+	}
+	if jr.Verb == JobStop && e.withdraw(jr) {
 		return false
 	}
 	j.waiters = append(j.waiters, jr)
-	e.addEdit(j, cancelJobEdit{})
+	if jr.Verb == JobStop {
+		e.addEdit(j, cancelJobEdit{})
+	}
 	return true
 }
 
@@ -260,7 +266,7 @@
 		return
 	}
 	if r.Version == 0 {
-		if jr.Verb != JobStop || !e.cancelUnstored(jr) {
+		if !e.awaitStored(jr) {
 			e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
 		}
 		return
@@ -290,6 +296,21 @@
 	}
 }
 
+// answerStored answers the submissions of a job that is now stored, and the requests for its
+// state that waited for that.
+func (e *Entry) answerStored(j *jobView) {
+	e.answerWaiters(j, JobSubmit)
+	var left []*openJobRequest
+	for _, jr := range j.waiters {
+		if jr.Verb != JobGet {
+			left = append(left, jr)
+		} else if e.jobRequests[jr.token] == jr {
+			e.serveFromRow(jr, j)
+		}
+	}
+	j.waiters = left
+}
+
 // answerWaiters answers the requests that wait for a job-wide edit, now that it is
 // committed.
 func (e *Entry) answerWaiters(j *jobView, verb JobVerb) {
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -316,7 +316,7 @@
 func (e *Entry) handleEditStored(j *jobView, ed edit) {
 	switch ed := ed.(type) {
 	case createEdit:
-		e.answerWaiters(j, JobSubmit)
+		e.answerStored(j)
 	case cancelJobEdit:
 		e.answerWaiters(j, JobStop)
 		e.stopClaims(j)
