core: don't pass on that a job is unknown while storing it

A caller was told that there is no such job (410) in answer to its cancellation; the job was stored a moment later and ran. Cause: the entry was storing the job itself, since the owner of its shard had not answered; the cancellation went to the owner, which did not find the job yet, and the entry passed that on. Change: the entry serves the cancellation itself then, or the request for the state. Result: TestCancelOfJobThatOwnerDoesNotFindYet fails before, passes after.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -131,14 +131,19 @@
 	assert.Assert(t, !sent, "a refused job must never reach the table")
 }
 
+// otherEntries returns the rows of entries of which one owns the shard of testJob.
+func otherEntries() []core.EntryRow {
+	var rows []core.EntryRow
+	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		rows = append(rows, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
+	}
+	return rows
+}
+
 // A relayed submission without an answer may have been accepted. Whatever keeps this
 // entry from serving it, the outcome must be unknown and not refused.
 func TestRelayedSubmissionIsNeverRefused(t *testing.T) {
-	others := []core.EntryRow{}
-	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
-		others = append(others, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
-	}
-	h := newEntryHarness(t, others...)
+	h := newEntryHarness(t, otherEntries()...)
 	h.submit()
 	relay := mustFind[core.Relay](h)
 	h.loseRead()
@@ -148,11 +153,7 @@
 
 // A relayed cancellation without an answer may have taken effect: it is never refused either.
 func TestRelayedCancellationIsNeverRefused(t *testing.T) {
-	others := []core.EntryRow{}
-	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
-		others = append(others, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
-	}
-	h := newEntryHarness(t, others...)
+	h := newEntryHarness(t, otherEntries()...)
 	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
 	relay := mustFind[core.Relay](h)
 	h.loseRead()
@@ -579,3 +580,19 @@
 		assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobRefused)
 	}
 }
+
+// An entry stores a job itself, since the owner of its shard did not answer. A cancellation
+// reaches the owner, which does not find the job. The caller must not be told so.
+func TestCancelOfJobThatOwnerDoesNotFindYet(t *testing.T) {
+	h := newEntryHarness(t, otherEntries()...)
+	h.submit()
+	h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Fault: core.FaultNoAnswer})
+	create := mustFind[core.Commit](h)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Answer: core.JobAnswer{Outcome: core.JobNotFound}})
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Committed: true, Revision: 20}})
+	h.post(core.CommitAnswered{Token: mustFind[core.Commit](h).Token, Result: table.Result{Committed: true, Revision: 21}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 78, Answer: core.JobAnswer{Outcome: core.JobAccepted}})
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -132,7 +132,9 @@
 	}
 	ownerUnavailable := ev.Answer.Reason == ReasonStopping || ev.Answer.Reason == ReasonConfig || ev.Answer.Reason == ReasonStore
 	if ev.Fault == FaultNone && !ownerUnavailable {
-		e.answerJobRequest(q.jr, ev.Answer)
+		if ev.Answer.Outcome != JobNotFound || !e.awaitStored(q.jr) {
+			e.answerJobRequest(q.jr, ev.Answer)
+		}
 		return
 	}
 	e.count("relay", ReasonOwner)
