core: keep ids of requests that may have run apart from refusals

A request that is not idempotent, and was sent again with the same id, ran twice once its entry had refused some thousand others: under overload these are seconds. Cause: one ring of 4096 answered requests served `why request` and the recognition of repeated ids, refusals included. Result: TestRefusalsDisplaceNoRequestThatMayHaveRun fails before, passes after.

--- a/core/agentserve.go
+++ b/core/agentserve.go
@@ -5,7 +5,7 @@
 // Limits of an agent's record of requests, and the averaging of service times.
 const (
 	// answerRetention is how long the answer to a non-idempotent request, or the
-	// guarantee that a request never runs, is remembered.
+	// guarantee that a request never runs, is remembered, and its id at an entry.
 	answerRetention = 10 * time.Minute
 	// tryRetention is how long the outcome of a try is remembered, so that a
 	// duplicate of a refused try is refused too and a duplicate of one that has
--- a/core/breaks_test.go
+++ b/core/breaks_test.go
@@ -91,3 +91,20 @@
 	h.post(core.RequestArrived{Request: q})
 	mustFind[core.Serve](h)
 }
+
+// Thousands of other requests are refused after one that may have run. Its id must still be
+// known when it is sent again.
+func TestRefusalsDisplaceNoRequestThatMayHaveRun(t *testing.T) {
+	h := newServiceHarness(t)
+	q := core.Request{ID: "q", Service: "order", Deadline: h.now.Add(30 * time.Second)}
+	h.post(core.RequestArrived{Request: q})
+	h.post(core.ServeAnswered{Call: mustFind[core.Serve](h).Call, Answer: core.ServeAnswer{ID: "q", Outcome: core.OutcomeDone}})
+	assert.Equal(t, mustFind[core.Answer](h).Outcome, core.OutcomeDone)
+	for i := range 5000 {
+		id := core.RequestID(fmt.Sprint("r", i))
+		h.post(core.RequestArrived{Request: core.Request{ID: id, Service: "none", Deadline: q.Deadline}})
+		assert.Equal(t, mustFind[core.Answer](h).Outcome, core.OutcomeRefused)
+	}
+	h.post(core.RequestArrived{Request: q})
+	assert.Equal(t, mustFind[core.Answer](h).Reason, core.ReasonDuplicate)
+}
--- a/core/recent.go
+++ b/core/recent.go
@@ -8,12 +8,14 @@
 // maxRecentRequests bounds the answered requests that an entry remembers.
 const maxRecentRequests = 4096
 
-// recentLog is a ring buffer of the last answered requests, for `why request` and to
-// recognise repeated ids of non-idempotent requests.
+// recentLog is a ring buffer of the last answered requests, for `why request`. It also
+// remembers the ids of non-idempotent requests that may have run, to recognise them when they
+// are repeated.
 type recentLog struct {
 	ring []recentRequest
 	next int // index of the oldest request, once the ring is full
 	byID map[RequestID]int
+	ran  answerLog[struct{}] // non-idempotent requests that may have run, by id
 }
 
 // recentRequest is an answered request and its answer without the body.
@@ -31,6 +33,9 @@
 	if l.byID == nil {
 		l.byID = map[RequestID]int{}
 	}
+	if !r.Idempotent && a.Outcome != OutcomeRefused {
+		l.ran.put(string(r.ID), struct{}{}, now, now.Add(answerRetention))
+	}
 	a.Body = nil
 	rec := recentRequest{id: r.ID, answer: a, tried: r.tried, idempotent: r.Idempotent, arrived: r.arrived, answered: now}
 	if len(l.ring) < maxRecentRequests {
@@ -58,8 +63,8 @@
 
 // mayHaveRun reports whether a non-idempotent request with this id may have run.
 func (l *recentLog) mayHaveRun(id RequestID) bool {
-	r, ok := l.find(id)
-	return ok && !r.idempotent && r.answer.Outcome != OutcomeRefused
+	_, ok := l.ran.answers[string(id)]
+	return ok
 }
 
 // reasons returns the rows of the answer to `why request`.
