--- a/core/entryask.go
+++ b/core/entryask.go
@@ -124,7 +124,8 @@
 
 // handleRelayAnswered passes another entry's answer on. If there is none, or that
 // entry can't serve now, this entry serves the request itself: writes are
-// conditional, so it is harmless if both do.
+// conditional, so it is harmless if both do. So it does if it is storing a job that the
+// other entry did not find.
 func (e *Entry) handleRelayAnswered(ev RelayAnswered) {
 	q, ok := e.takePending(ev.Token).(pendingRelay)
 	if !ok || e.jobRequests[q.jr.token] == nil {
