--- a/core/agentserve.go
+++ b/core/agentserve.go
@@ -5,7 +5,7 @@
 // Limits of an agent's record of requests, and the averaging of service times.
 const (
 	// answerRetention is how long the answer to a non-idempotent request, or the
-	// guarantee that a request never runs, is remembered.
+	// guarantee that a request never runs, is remembered, and its id at an entry.
 	answerRetention = 10 * time.Minute
 	// tryRetention is how long the outcome of a try is remembered, so that a
 	// duplicate of a refused try is refused too and a duplicate of one that has
@@ -22,8 +22,8 @@
 type serveState struct {
 	running     map[RequestID]*admittedRequest
 	queue       []*admittedRequest
-	answers     answerLog                // by request id: answers, and guarantees never to run
-	tries       answerLog                // by try: refusals, and the fact that a request has run
+	answers     answerLog[ServeAnswer]   // by request id: answers, and guarantees never to run
+	tries       answerLog[ServeAnswer]   // by try: refusals, and the fact that a request has run
 	means       map[string]time.Duration // mean service time, by service
 	recentMeans map[string]recentMean    // of the current interval, by service
 }
@@ -39,7 +39,7 @@
 func (s *serveState) init() {
 	s.running = map[RequestID]*admittedRequest{}
 	s.queue = nil
-	s.answers, s.tries = answerLog{}, answerLog{}
+	s.answers, s.tries = answerLog[ServeAnswer]{}, answerLog[ServeAnswer]{}
 	s.recentMeans = map[string]recentMean{}
 	if s.means == nil {
 		s.means = map[string]time.Duration{}
--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -131,14 +131,19 @@
 	assert.Assert(t, !sent, "a refused job must never reach the table")
 }
 
+// otherEntries returns the rows of entries of which one owns the shard of testJob.
+func otherEntries() []core.EntryRow {
+	var rows []core.EntryRow
+	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+		rows = append(rows, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
+	}
+	return rows
+}
+
 // A relayed submission without an answer may have been accepted. Whatever keeps this
 // entry from serving it, the outcome must be unknown and not refused.
 func TestRelayedSubmissionIsNeverRefused(t *testing.T) {
-	others := []core.EntryRow{}
-	for _, id := range []core.EntryID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
-		others = append(others, core.EntryRow{ID: id, Addr: "10.0.0.1:1", Heartbeats: 1})
-	}
-	h := newEntryHarness(t, others...)
+	h := newEntryHarness(t, otherEntries()...)
 	h.submit()
 	relay := mustFind[core.Relay](h)
 	h.loseRead()
@@ -146,6 +151,16 @@
 	assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobUnknown)
 }
 
+// A relayed cancellation without an answer may have taken effect: it is never refused either.
+func TestRelayedCancellationIsNeverRefused(t *testing.T) {
+	h := newEntryHarness(t, otherEntries()...)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	relay := mustFind[core.Relay](h)
+	h.loseRead()
+	h.post(core.RelayAnswered{Token: relay.Token, Fault: core.FaultNoAnswer})
+	assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobUnknown)
+}
+
 // At the caller's deadline, the outcome of a submission that may have been stored is
 // unknown.
 func TestSubmissionAtItsDeadline(t *testing.T) {
@@ -474,3 +489,110 @@
 	}
 	t.Fatal("the second submission does not see that the job is stored")
 }
+
+// A job is cancelled while the transaction that stores it is in flight. The caller must not
+// be told that there is no such job: it would be stored and run.
+func TestCancelOfJobThatIsBeingStored(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	create := mustFind[core.Commit](h)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	if r, ok := find[core.ReadRows](h); ok {
+		h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	}
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Committed: true, Revision: 20}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 77, Answer: core.JobAnswer{Outcome: core.JobAccepted}})
+	cancel := mustFind[core.Commit](h)
+	rec, err := core.Decode(cancel.Txn.Writes[0].Key, cancel.Txn.Writes[0].Value)
+	assert.NilError(t, err)
+	row, ok := rec.(core.JobRow)
+	assert.Assert(t, ok && row.Cancel)
+	h.post(core.CommitAnswered{Token: cancel.Token, Result: table.Result{Committed: true, Revision: 21}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 78, Answer: core.JobAnswer{Outcome: core.JobAccepted}})
+}
+
+// A job is submitted while the row of a cancellation of it is being read. The cancellation
+// must not be answered before the submission.
+func TestCancelOfJobThatArrivesDuringTheRead(t *testing.T) {
+	h := newEntryHarness(t)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	r := mustFind[core.ReadRows](h)
+	h.submit()
+	h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+}
+
+// A submission that was not sent to the table is withdrawn when its job is cancelled.
+func TestCancelWithdrawsUnsentSubmission(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit() // its transaction is in flight, so that the next one waits
+	const other = "/q/fedcba9876543210"
+	steps := []core.StepSpec{{Count: 1, Size: core.Size{Millicores: 1}}}
+	h.post(core.JobRequested{Token: 80, Request: core.JobRequest{
+		Verb: core.JobSubmit, Path: other, Spec: core.JobSpec{Steps: steps}, Deadline: h.now.Add(time.Second),
+	}})
+	h.post(core.JobRequested{Token: 81, Request: core.JobRequest{Verb: core.JobStop, Path: other, Deadline: h.now.Add(time.Second)}})
+	submitted := mustFind[core.JobReply](h)
+	assert.Equal(t, submitted.Token, core.Token(80))
+	assert.Equal(t, submitted.Answer.Outcome, core.JobRefused)
+	r := mustFind[core.ReadRows](h)
+	h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 81, Answer: core.JobAnswer{Outcome: core.JobNotFound}})
+}
+
+// A caller without an answer to its submission asks for the job while the transaction that
+// stores it is in flight. It must not be told that there is no such job: it would submit its
+// work again.
+func TestStateOfJobThatIsBeingStored(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	create := mustFind[core.Commit](h)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobGet, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	if r, ok := find[core.ReadRows](h); ok {
+		h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	}
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Committed: true, Revision: 20}})
+	var replies []core.JobReply
+	for _, eff := range h.out {
+		if r, ok := eff.(core.JobReply); ok {
+			replies = append(replies, r)
+		}
+	}
+	assert.DeepEqual(t, replies, []core.JobReply{
+		{Token: 77, Answer: core.JobAnswer{Outcome: core.JobAccepted}},
+		{Token: 78, Answer: core.JobAnswer{Outcome: core.JobAccepted, State: core.JobQueued}},
+	})
+}
+
+// While the table does not answer, requests about a job that is being stored are refused at
+// once.
+func TestRequestsOfJobThatIsBeingStoredInOutage(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	h.loseRead()
+	for _, verb := range []core.JobVerb{core.JobGet, core.JobStop} {
+		h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: verb, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+		assert.Equal(t, mustFind[core.JobReply](h).Answer.Outcome, core.JobRefused)
+	}
+}
+
+// An entry stores a job itself, since the owner of its shard did not answer. A cancellation
+// reaches the owner, which does not find the job. The caller must not be told so.
+func TestCancelOfJobThatOwnerDoesNotFindYet(t *testing.T) {
+	h := newEntryHarness(t, otherEntries()...)
+	h.submit()
+	h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Fault: core.FaultNoAnswer})
+	create := mustFind[core.Commit](h)
+	h.post(core.JobRequested{Token: 78, Request: core.JobRequest{Verb: core.JobStop, Path: testJobPath, Deadline: h.now.Add(time.Second)}})
+	h.post(core.RelayAnswered{Token: mustFind[core.Relay](h).Token, Answer: core.JobAnswer{Outcome: core.JobNotFound}})
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while the job may still be stored")
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Committed: true, Revision: 20}})
+	h.post(core.CommitAnswered{Token: mustFind[core.Commit](h).Token, Result: table.Result{Committed: true, Revision: 21}})
+	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 78, Answer: core.JobAnswer{Outcome: core.JobAccepted}})
+}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -20,8 +20,8 @@
 	token Token
 	JobRequest
 	receivedAt time.Time
-	// maybeAccepted is set if another entry may have accepted the submission.
-	maybeAccepted bool
+	// maybeApplied is set if the request may take effect through another entry.
+	maybeApplied bool
 }
 
 // pendingRelay awaits another entry's answer to a relayed request.
@@ -124,7 +124,8 @@
 
 // handleRelayAnswered passes another entry's answer on. If there is none, or that
 // entry can't serve now, this entry serves the request itself: writes are
-// conditional, so it is harmless if both do.
+// conditional, so it is harmless if both do. So it does if it is storing a job that the
+// other entry did not find.
 func (e *Entry) handleRelayAnswered(ev RelayAnswered) {
 	q, ok := e.takePending(ev.Token).(pendingRelay)
 	if !ok || e.jobRequests[q.jr.token] == nil {
@@ -132,11 +133,13 @@
 	}
 	ownerUnavailable := ev.Answer.Reason == ReasonStopping || ev.Answer.Reason == ReasonConfig || ev.Answer.Reason == ReasonStore
 	if ev.Fault == FaultNone && !ownerUnavailable {
-		e.answerJobRequest(q.jr, ev.Answer)
+		if ev.Answer.Outcome != JobNotFound || !e.awaitStored(q.jr) {
+			e.answerJobRequest(q.jr, ev.Answer)
+		}
 		return
 	}
 	e.count("relay", ReasonOwner)
-	q.jr.maybeAccepted = ev.Fault == FaultNoAnswer
+	q.jr.maybeApplied = ev.Fault == FaultNoAnswer
 	e.serveJobRequest(q.jr)
 }
 
@@ -211,7 +214,8 @@
 }
 
 // lookUpOrCancel answers from memory if the job's row is known and, for its state, recent
-// enough. Otherwise it reads the row: only a read proves that there is no such job.
+// enough, and waits for a submission in progress. Otherwise it reads the row: only a read
+// proves that there is no such job.
 func (e *Entry) lookUpOrCancel(jr *openJobRequest) {
 	j := e.jobs[jr.Spec.ID]
 	if j != nil && j.row.stored && (jr.Verb == JobStop || e.isCurrent(j)) {
@@ -222,9 +226,30 @@
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: ReasonStore, RetryAfter: e.storeRetryAfter()})
 		return
 	}
+	if e.awaitStored(jr) {
+		return
+	}
 	e.emit(ReadRows{Token: e.expect(pendingJobLookup{jr}), Keys: []string{keyJob(jr.Spec.ID)}})
 }
 
+// awaitStored lets a request wait for a submission of its job that is in progress at this
+// entry, as a read of the row would not show the job yet. A cancellation withdraws a
+// submission that was never sent to the table. It reports whether the request waits.
+func (e *Entry) awaitStored(jr *openJobRequest) bool {
+	j := e.jobs[jr.Spec.ID]
+	if j == nil || j.row.stored || j.row.Spec.Queue != jr.Spec.Queue {
+		return false
+	}
+	if jr.Verb == JobStop && e.withdraw(jr) {
+		return false
+	}
+	j.waiters = append(j.waiters, jr)
+	if jr.Verb == JobStop {
+		e.addEdit(j, cancelJobEdit{})
+	}
+	return true
+}
+
 // handleJobLookup serves a request from the job's row as read from the table.
 func (e *Entry) handleJobLookup(jr *openJobRequest, ev RowsAnswered) {
 	if ev.Fault != FaultNone {
@@ -244,7 +269,9 @@
 		return
 	}
 	if r.Version == 0 {
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
+		if !e.awaitStored(jr) {
+			e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
+		}
 		return
 	}
 	e.applyJobRow(r)
@@ -272,6 +299,21 @@
 	}
 }
 
+// answerStored answers the submissions of a job that is now stored, and the requests for its
+// state that waited for that.
+func (e *Entry) answerStored(j *jobView) {
+	e.answerWaiters(j, JobSubmit)
+	var left []*openJobRequest
+	for _, jr := range j.waiters {
+		if jr.Verb != JobGet {
+			left = append(left, jr)
+		} else if e.jobRequests[jr.token] == jr {
+			e.serveFromRow(jr, j)
+		}
+	}
+	j.waiters = left
+}
+
 // answerWaiters answers the requests that wait for a job-wide edit, now that it is
 // committed.
 func (e *Entry) answerWaiters(j *jobView, verb JobVerb) {
@@ -289,12 +331,12 @@
 // answerJobRequest sends the final answer to a request.
 func (e *Entry) answerJobRequest(jr *openJobRequest, ans JobAnswer) {
 	delete(e.jobRequests, jr.token)
-	if jr.maybeAccepted && jr.Verb == JobSubmit && ans.Outcome == JobRefused {
+	if jr.maybeApplied && jr.Verb.changes() && ans.Outcome == JobRefused {
 		ans = JobAnswer{Outcome: JobUnknown, Reason: ans.Reason}
 	}
 	e.count("job."+string(jr.Verb)+"."+string(ans.Outcome), ans.Reason)
 	e.measure("job."+string(jr.Verb), jr.receivedAt)
-	if jr.Verb == JobSubmit || jr.Verb == JobStop {
+	if jr.Verb.changes() {
 		e.logEvent("job "+string(jr.Verb), string(jr.Spec.ID), "outcome", string(ans.Outcome), "reason", string(ans.Reason),
 			"queue", jr.Spec.Queue, "relayed", jr.Relayed, "retry", ans.RetryAfter.String(), "config", e.config.changes)
 	}
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -251,6 +251,8 @@
 		e.handleFenceAnswered(w, ev)
 	case pendingCommand:
 		e.handleCommandAnswered(w.c, ev)
+	case pendingRefusals:
+		e.handleRefusalsRemoved(w.ids, ev)
 	case pendingLeave:
 		e.deregistered = true
 	}
@@ -339,7 +341,7 @@
 func (e *Entry) handleEditStored(j *jobView, ed edit) {
 	switch ed := ed.(type) {
 	case createEdit:
-		e.answerWaiters(j, JobSubmit)
+		e.answerStored(j)
 	case cancelJobEdit:
 		e.answerWaiters(j, JobStop)
 		e.stopClaims(j)
