interf: restore no estimate that is not a number

An estimate of NaN in the stored row stayed in each entry that read it, which stored it again.

TestRestoreSkipsPairsThatAreNoNumbers failed before for such an estimate and passes now; its other cases passed before.

--- a/interf/interf.go
+++ b/interf/interf.go
@@ -263,6 +263,9 @@
 // estimate.
 func (l *Learner) Restore(ps []Pair) {
 	for _, p := range ps {
+		if math.IsNaN(p.Interference) {
+			continue
+		}
 		if _, current := l.estimate(p.LongRunning, p.BestEffort); p.Variance > 0 && p.Variance < current {
 			l.model(p.LongRunning).restore(p.BestEffort, p.Interference, p.Variance)
 		}
--- a/interf/interf_test.go
+++ b/interf/interf_test.go
@@ -167,3 +167,20 @@
 	assert.Assert(t, math.Abs(l.Interference("a", "f")-known) < 0.5)
 	assert.Assert(t, l.Interference("a", "99") > l.Interference("a", "0"))
 }
+
+// A stored estimate that is no number stayed in the learner for good, and was stored again.
+func TestRestoreSkipsPairsThatAreNoNumbers(t *testing.T) {
+	for _, p := range []interf.Pair{
+		{Interference: math.NaN(), Variance: 0.1}, {Interference: 1, Variance: math.NaN()},
+		{Interference: 1, Variance: -1}, {Interference: 1, Variance: math.Inf(1)},
+	} {
+		var l interf.Learner
+		before := l.Interference("api", "import")
+		p.LongRunning, p.BestEffort = "api", "import"
+		l.Restore([]interf.Pair{p})
+		assert.Equal(t, l.Interference("api", "import"), before, "%+v", p)
+	}
+	var l interf.Learner
+	l.Restore([]interf.Pair{{LongRunning: "api", BestEffort: "import", Interference: math.Inf(1), Variance: 0.1}})
+	assert.Assert(t, !math.IsInf(l.Interference("api", "import"), 0))
+}
