--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 	t.Helper()
 	h := &entryHarness{
 		t: t, now: time.Unix(1_700_000_000, 0), rev: 10,
-		e: core.NewEntry(core.EntryIdentity{ID: "me"}, opts...),
+		e: core.NewEntry(core.EntryIdentity{ID: "me", Addr: netip.MustParseAddrPort("10.0.0.9:1")}, opts...),
 	}
 	h.post(core.Tick{})
 	config := []table.Row{
