core: let a failed long-running task return to its worker

Cause: a long-running task avoids the worker that it last failed on until it fails on another one. Where no other worker fits it (all are full, lack its label, or hold the maximum of its step), it waits for ever, beside the room that its own end has left. On a small site with anti-affinity a step may need every worker.

Change: workers that a job avoids, after failures and refused orders alike, are a second choice for a long-running task that has not run for 2 s. How long it has not run is kept through refused orders.

--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -319,6 +319,9 @@
 		e.answerWaiters(j, JobStop)
 		e.stopClaims(j)
 	case endEdit:
+		if ed.end.Started {
+			j.noteRun(ed.task())
+		}
 		e.advanceStep(j, ed)
 	}
 	e.reconcileEdit(j, ed)
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -29,6 +29,7 @@
 	avoidUntil       map[WorkerID]time.Time // workers to avoid, and until when
 	waitReasons      map[int]Reason         // why tasks are waiting, by task
 	unplaceableSince time.Time              // since when a task has fitted no worker; zero if none
+	idle             map[int]time.Time      // since when waiting tasks have not run, see idleSince
 }
 
 // claim is an entry's view of one claim: the assignment of a task's attempt to an
@@ -266,6 +267,9 @@
 	if c := w.claims[t.Task]; c != nil && c.attempt == t {
 		c.reported, c.reportedAt = true, e.at.Now
 		c.launched = c.launched || !slices.Contains(w.heartbeat.Launching, t)
+		if j := e.jobs[t.Task.Job]; j != nil && c.launched {
+			j.noteRun(t.Task.N)
+		}
 		return
 	}
 	j := e.jobs[t.Task.Job]
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -142,7 +142,7 @@
 
 // pick chooses the worker for a task: batch tasks are packed densely, urgent ones
 // spread, and urgent tasks may preempt batch tasks. A task whose data is in a rack is
-// placed in that rack if there is room.
+// placed in that rack if there is room. An overdue task goes where there is room at all.
 func (e *Entry) pick(j *jobView, q queuedTask) (WorkerID, bool) {
 	st := j.row.Spec.Step(q.task.N)
 	need := e.need(j, q, st)
@@ -160,6 +160,10 @@
 			return id, true
 		}
 	}
+	if id, ok := e.pickOne(need, j, q, st); ok || !e.isOverdue(j, q) {
+		return id, ok
+	}
+	need.Exclude = e.unfit(j, q.task.N, st)
 	return e.pickOne(need, j, q, st)
 }
 
--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -30,13 +30,15 @@
 	rank       order.Rank
 	number     uint64    // order of arrival
 	since      time.Time // when it was queued
+	idleSince  time.Time // since when it has not run
 }
 
 // newQueuedTask returns the queue entry of a job's task.
 func (e *Entry) newQueuedTask(j *jobView, n int) queuedTask {
 	spec := &j.row.Spec
 	return queuedTask{
-		since: e.at.Now, task: TaskID{Job: spec.ID, N: n}, mayPreempt: spec.mayPreempt(spec.Step(n)), rank: e.rankOf(j),
+		since: e.at.Now, idleSince: j.idleSince(n, e.at.Now), task: TaskID{Job: spec.ID, N: n},
+		mayPreempt: spec.mayPreempt(spec.Step(n)), rank: e.rankOf(j),
 	}
 }
 
