core: let a long-running task wait for room at its worker

Cause: several homes place by views that are a moment old, so whatever becomes free is claimed by several at once, and short tasks, which need less, win. A refused order leaves nothing behind: the task that needs more room starts from nothing at the next worker. While no worker has room for it, nothing is tried at all.

Change: an agent admits a long-running order that would fit if the short tasks were gone, and launches it once they are, by the same condition as any admission. It waits within its permit, one task at a time; meanwhile it counts as committed, so newer orders and other homes leave the free room alone, and nothing is evicted for it. A task that is handed back keeps the room for 0.3 s, in which its entry orders it there once more. An entry sends a task that has not run for 1 s to a full worker to wait; the job avoids that worker no longer after a hand-back.

--- a/core/agent.go
+++ b/core/agent.go
@@ -32,6 +32,7 @@
 	unmanaged Size // size of tasks that run at the worker but are not held
 
 	held       map[TaskID]*heldTask
+	kept       keptRoom // see advanceAwaited
 	ends       map[Attempt]End
 	lateEnds   map[Attempt]time.Time // when ends were replaced by what was learnt of them late
 	lost       []*heldTask           // ended since the worker did not answer; it may have crashed
@@ -162,6 +163,7 @@
 	a.expireQueue()
 	a.advanceDrain()
 	a.advanceIsolation()
+	a.advanceAwaited()
 	a.advanceLaunches()
 	a.advanceCheckpoints()
 	a.advanceDiscovery()
--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -43,26 +43,35 @@
 	if a.held[o.Attempt.Task] != nil {
 		return ReasonDuplicate
 	}
-	if a.pol.on(guardAdmission) {
-		room := a.capacity.Minus(a.committed())
-		if o.Urgent {
-			room = room.Plus(a.preemptible())
-		}
-		if o.BestEffort {
-			room = a.capacity.Minus(a.reserved())
-		}
-		if o.Isolated {
-			room = a.isolationRoom(o.Attempt.Task.Job)
-		}
-		if !reservedSize(a.expectedSize(o), o.BestEffort).Fits(room) {
-			return ReasonRoom
-		}
+	awaitsRoom := a.pol.on(guardAdmission) && !a.fits(o)
+	if awaitsRoom && !a.mayAwaitRoom(o) {
+		return ReasonRoom
+	}
+	a.held[o.Attempt.Task] = &heldTask{
+		order: o, admittedAt: a.at.Now, savedAt: a.at.Now, expectedSize: a.expectedSize(o), awaitsRoom: awaitsRoom,
+	}
+	if awaitsRoom {
+		a.logEvent("start awaits room", o.Attempt.String(), "room", a.capacity.Minus(a.reserved()).Millicores)
 	}
-	a.held[o.Attempt.Task] = &heldTask{order: o, admittedAt: a.at.Now, savedAt: a.at.Now, expectedSize: a.expectedSize(o)}
 	a.makeRoom()
 	return ReasonNone
 }
 
+// fits reports whether an order's task fits beside what the VM is committed to.
+func (a *Agent) fits(o Order) bool {
+	room := a.capacity.Minus(a.committed()).Minus(a.keptFromOthers(o.Attempt.Task))
+	if o.Urgent {
+		room = room.Plus(a.preemptible())
+	}
+	if o.BestEffort {
+		room = a.capacity.Minus(a.reserved())
+	}
+	if o.Isolated {
+		room = a.isolationRoom(o.Attempt.Task.Job)
+	}
+	return reservedSize(a.expectedSize(o), o.BestEffort).Fits(room)
+}
+
 // wasAdmitted reports whether the order's attempt was admitted before.
 func (a *Agent) wasAdmitted(o Order) bool {
 	if t := a.held[o.Attempt.Task]; t != nil && t.order.Attempt == o.Attempt {
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -33,7 +33,7 @@
 	b := Heartbeat{
 		Worker: a.self.Worker, Inc: a.inc, Run: a.self.Run, Addr: a.self.Addr,
 		DC: a.self.DC, Rack: a.rack, Labels: a.labels, Sent: a.at.Now,
-		Capacity: a.capacity, Committed: a.committed(), Preemptible: a.preemptible(), Used: a.used,
+		Capacity: a.capacity, Committed: a.committed().Plus(a.keptFromOthers(TaskID{})), Preemptible: a.preemptible(), Used: a.used,
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
 		Config: a.config.rev, Leaving: a.isClosed() || a.workerDown() || a.workerUnresponsive(),
 		LeaseLapsed: a.leaseLapsed(), Isolated: a.isolatedJob(),
--- /dev/null
+++ b/core/agentroom.go
@@ -0,0 +1,72 @@
+package core
+
+import "time"
+
+// awaitMargin is how long before its permit expires a task that awaits room is handed back:
+// a worker refuses a launch that reaches it later.
+const awaitMargin = 100 * time.Millisecond
+
+// keepTime is how long the room that a task has waited for is kept once it is handed back.
+// Its entry orders it anew within that time, with a new permit.
+const keepTime = 300 * time.Millisecond
+
+// keptRoom is room that is kept for a task that was handed back.
+type keptRoom struct {
+	task  TaskID
+	size  Size
+	until time.Time
+}
+
+// keptFromOthers returns the size that is kept for a task other than the given one.
+func (a *Agent) keptFromOthers(t TaskID) Size {
+	if a.kept.task == t || a.held[a.kept.task] != nil || !a.at.Now.Before(a.kept.until) {
+		return Size{}
+	}
+	return a.kept.size
+}
+
+// mayAwaitRoom reports whether an order that does not fit may wait here, within its permit,
+// until short tasks complete. Only long-running tasks do, one at a time: entries that place
+// short tasks by views that are a moment old would take each bit of free capacity before
+// one that needs more of it. What stays free until then goes to no other order.
+func (a *Agent) mayAwaitRoom(o Order) bool {
+	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated {
+		return false
+	}
+	rest := a.capacity.Minus(a.reservedByServices()).Minus(a.unmanaged).Minus(a.keptFromOthers(o.Attempt.Task))
+	for _, t := range a.held {
+		if t.awaitsRoom {
+			return false
+		}
+		if t.order.LongRunning {
+			rest = rest.Minus(t.size())
+		}
+	}
+	return a.expectedSize(o).Fits(rest)
+}
+
+// advanceAwaited ends the wait of a task for room as soon as it fits, by the same condition
+// as an order that has just come, or hands it back.
+func (a *Agent) advanceAwaited() {
+	for _, t := range a.heldByUnsavedWork() {
+		if !t.awaitsRoom || t.stopping != "" {
+			continue
+		}
+		room := a.capacity.Minus(a.committed()).Plus(t.size()).Plus(a.preemptible())
+		switch {
+		case !a.at.Now.Before(a.awaitEnd(t)):
+			a.stop(t, EndEvicted, "no room within its permit")
+			a.kept = keptRoom{task: t.order.Attempt.Task, size: t.size(), until: a.at.Now.Add(keepTime)}
+		case t.size().Fits(room):
+			t.awaitsRoom = false
+			a.makeRoom()
+		}
+	}
+}
+
+// awaitEnd returns when a task that awaits room is handed back.
+func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.permitEnd(t.order).Add(-awaitMargin) }
+
+// takesNoRoom reports whether the task has to wait until others are gone, so that nothing is
+// evicted for it.
+func (t *heldTask) takesNoRoom() bool { return t.isolationPending() || t.awaitsRoom }
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -33,6 +33,7 @@
 	slowSince        time.Time     // since when a best-effort task is slowed; zero if it is not
 	usedMillicores   int64         // as last measured by the worker
 	utilization      float64       // see pace.Load
+	awaitsRoom       bool          // it was admitted beyond the free capacity, see mayAwaitRoom
 	moved            bool          // its claim was moved: its end is not reported
 	expectedSize     Size          // from the usage ratio of its class
 	tailLatency      time.Duration // of a long-running task, as last measured by the worker
@@ -142,7 +143,7 @@
 	}
 	over := a.reserved()
 	for _, t := range a.heldByUnsavedWork() {
-		if t.stopping != "" || t.isolationPending() {
+		if t.stopping != "" || t.takesNoRoom() {
 			over = over.Minus(t.reserved())
 		}
 	}
@@ -150,7 +151,7 @@
 		if over.Fits(a.capacity) {
 			return
 		}
-		if t.order.Urgent || t.stopping != "" || t.isolationPending() || !frees(t.reserved(), over, a.capacity) {
+		if t.order.Urgent || t.stopping != "" || t.takesNoRoom() || !frees(t.reserved(), over, a.capacity) {
 			continue
 		}
 		over = over.Minus(t.reserved())
@@ -202,7 +203,7 @@
 			a.stop(t, EndEvicted, "no room within its permit")
 			continue
 		}
-		if !a.fitsNow(t) || !a.leaseEnd().After(a.at.Now) {
+		if t.awaitsRoom || !a.fitsNow(t) || !a.leaseEnd().After(a.at.Now) {
 			continue
 		}
 		t.launched, t.launchedAt, t.epoch = true, a.at.Now, a.calls.current
@@ -423,6 +424,9 @@
 		if t.isolationPending() {
 			next = earliest(next, t.admittedAt.Add(isolateGrace))
 		}
+		if t.awaitsRoom {
+			next = earliest(next, a.awaitEnd(t))
+		}
 		if t.listed {
 			next = earliest(next, t.savedAt.Add(a.pol.CheckpointInterval))
 		}
--- /dev/null
+++ b/core/awaitroom_test.go
@@ -0,0 +1,79 @@
+package core_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayloft/core"
+)
+
+// newAgentHarness returns a harness whose agent has joined.
+func newAgentHarness() *agentHarness {
+	s := &agentHarness{
+		now: time.Unix(1_800_000_000, 0),
+		a: core.NewAgent(core.AgentIdentity{
+			Worker: "w", DC: "d", Run: "r", Entries: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:7101")},
+		}),
+	}
+	s.run(5 * time.Second)
+	return s
+}
+
+// start orders the start of an urgent task, and returns its attempt and the agent's reply.
+func (s *agentHarness) start(job core.JobID, millicores int64, longRunning bool) (core.Attempt, core.StartReply) {
+	a := core.Attempt{Task: core.TaskID{Job: job}, Number: 1}
+	s.reduce(core.StartAsked{Token: 1, Order: core.Order{
+		Attempt: a, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Echo: s.now, Urgent: true, LongRunning: longRunning,
+		Size: core.Size{Millicores: millicores, MemoryMB: 1000},
+	}})
+	return a, s.replies[len(s.replies)-1]
+}
+
+// end makes the worker list an attempt no more.
+func (s *agentHarness) end(a core.Attempt) {
+	s.runs = slices.DeleteFunc(s.runs, func(b core.Attempt) bool { return a == b })
+}
+
+// A long-running task must get the free capacity that short tasks leave before newer orders
+// do, and never more than there is.
+func TestLongRunningTaskGetsFreedRoom(t *testing.T) {
+	s := newAgentHarness()
+	short, _ := s.start("short", 1500, false)
+	long, reply := s.start("long", 3500, true)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	_, reply = s.start("newer", 1500, false)
+	assert.Equal(t, reply.Reason, core.ReasonRoom)
+	s.run(500 * time.Millisecond)
+	assert.Assert(t, !slices.Contains(s.launches, long), "launched over the capacity")
+	s.end(short)
+	s.run(600 * time.Millisecond)
+	assert.Assert(t, slices.Contains(s.launches, long))
+}
+
+// A long-running task waits for room within its permit only, and one at a time: after that
+// other tasks must get the free capacity.
+func TestWaitForRoomEnds(t *testing.T) {
+	s := newAgentHarness()
+	s.start("short", 1500, false)
+	long, reply := s.start("long", 3500, true)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	_, reply = s.start("second", 3500, true)
+	assert.Equal(t, reply.Reason, core.ReasonRoom)
+	s.run(core.DefaultPolicy().Permit + 600*time.Millisecond)
+	assert.Assert(t, !slices.Contains(s.launches, long))
+	assert.Assert(t, slices.ContainsFunc(s.last.Ends, func(e core.End) bool { return e.Attempt == long && !e.Started }))
+	_, reply = s.start("newer", 1500, false)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+}
+
+// A long-running task does not wait for others that run as long as it does.
+func TestNoWaitForLongRunningTasks(t *testing.T) {
+	s := newAgentHarness()
+	s.start("first", 1500, true)
+	_, reply := s.start("long", 3500, true)
+	assert.Equal(t, reply.Reason, core.ReasonRoom)
+}
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -235,13 +235,19 @@
 // slack returns the CPU that the long-running tasks on a worker are expected to leave
 // unused.
 func (w *workerView) slack() Size {
-	longRunning := w.heartbeat.LongRunning
+	return Size{Millicores: int64(float64(w.longRunningMillicores()) * longRunningIdleFraction)}
+}
+
+// longRunningMillicores returns the CPU that the long-running tasks on a worker declare,
+// including claims that its agent has not reported yet.
+func (w *workerView) longRunningMillicores() int64 {
+	n := w.heartbeat.LongRunning
 	for _, c := range w.claims {
 		if c.longRunning && c.holder.Inc == w.inc && !c.reported {
-			longRunning += c.size.Millicores
+			n += c.size.Millicores
 		}
 	}
-	return Size{Millicores: int64(float64(longRunning) * longRunningIdleFraction)}
+	return n
 }
 
 // role returns place.Serving if tasks with a tail-latency target run on the worker or
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -152,7 +152,7 @@
 		return
 	}
 	e.count("end", Reason(ed.end.Kind))
-	if ed.end.Kind == EndLost || ed.end.Kind == EndCrashed || ed.end.Kind == EndEvicted && !ed.end.Started {
+	if ed.mustAvoid(j.row.Spec.Step(ed.task())) {
 		j.avoidUntil[w.id] = e.at.Now.Add(refusalAvoidTime)
 	}
 	e.logEvent("task ended", ed.end.Attempt.String(), "kind", string(ed.end.Kind), "reason", ed.end.Reason,
@@ -160,3 +160,16 @@
 	w.failures.recordEnd(ed.end, e.at.Now)
 	e.indexWorker(w)
 }
+
+// mustAvoid reports whether a job avoids the worker for a while after an end. A long-running
+// task that was handed back before its launch may have waited there for room, most of which
+// is free by now.
+func (ed endEdit) mustAvoid(st StepSpec) bool {
+	switch ed.end.Kind {
+	case EndLost, EndCrashed:
+		return true
+	case EndEvicted:
+		return !ed.end.Started && !st.LongRunning
+	}
+	return false
+}
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -322,6 +322,7 @@
 		if ed.end.Started {
 			j.noteRun(ed.task())
 		}
+		j.noteHandedBack(ed.end, ed.worker)
 		e.advanceStep(j, ed)
 	}
 	e.reconcileEdit(j, ed)
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -29,7 +29,7 @@
 	avoidUntil       map[WorkerID]time.Time // workers to avoid, and until when
 	waitReasons      map[int]Reason         // why tasks are waiting, by task
 	unplaceableSince time.Time              // since when a task has fitted no worker; zero if none
-	idle             map[int]time.Time      // since when waiting tasks have not run, see idleSince
+	idle             map[int]*idleTask      // by task
 }
 
 // claim is an entry's view of one claim: the assignment of a task's attempt to an
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -146,6 +146,9 @@
 func (e *Entry) pick(j *jobView, q queuedTask) (WorkerID, bool) {
 	st := j.row.Spec.Step(q.task.N)
 	need := e.need(j, q, st)
+	if w := e.workers[j.takeAwaited(q.task.N)]; st.LongRunning && w != nil && e.canAwait(w, need) {
+		return w.id, true
+	}
 	if j.isSuspect(q.task.N) {
 		reliable := need
 		reliable.Exclude = append(slices.Clone(need.Exclude), e.lessReliable()...)
@@ -163,8 +166,12 @@
 	if id, ok := e.pickOne(need, j, q, st); ok || !e.isOverdue(j, q) {
 		return id, ok
 	}
-	need.Exclude = e.unfit(j, q.task.N, st)
-	return e.pickOne(need, j, q, st)
+	anywhere := need
+	anywhere.Exclude = e.unfit(j, q.task.N, st)
+	if id, ok := e.pickOne(anywhere, j, q, st); ok {
+		return id, true
+	}
+	return e.pickAwaited(need)
 }
 
 // need returns a task's requirements for placement.
--- a/core/longrun_test.go
+++ b/core/longrun_test.go
@@ -1,12 +1,14 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"jayloft/core"
+	"jayloft/fake"
 )
 
 // maxIdle is how long a long-running task may be without a run while there is room for it.
@@ -70,3 +72,69 @@
 	again, after := s.placedWithin(time.Second)
 	assert.Assert(t, again != "" && again != first, "placed on %q after %s, failed on %s", again, after, first)
 }
+
+// longRunningJob is the first job of a World, in tests of long-running tasks.
+const longRunningJob = "job0."
+
+// idleTimes records how long the tasks of longRunningJob are without a run.
+type idleTimes struct {
+	endedAt map[string]time.Time // of tasks without a run
+	longest time.Duration
+}
+
+// trace observes what the workers of a World do.
+func (x *idleTimes) trace(at time.Time, who, what string) {
+	if !strings.HasPrefix(who, "worker") || !strings.HasPrefix(what, longRunningJob) {
+		return
+	}
+	task, event, _ := strings.Cut(what, "#")
+	if strings.Contains(event, " is ended") {
+		x.endedAt[task] = at
+		return
+	}
+	if ended, ok := x.endedAt[task]; ok && strings.Contains(event, " is launched") {
+		x.longest = max(x.longest, at.Sub(ended))
+		delete(x.endedAt, task)
+	}
+}
+
+// idleFor returns the longest time that a task was or has been without a run.
+func (x *idleTimes) idleFor(now time.Time) time.Duration {
+	longest := x.longest
+	for _, at := range x.endedAt {
+		longest = max(longest, now.Sub(at))
+	}
+	return longest
+}
+
+// A drain evicts long-running tasks while several homes place short tasks that take each bit
+// of free capacity. The long-running ones must not lose all races for it.
+func TestEvictedLongRunningTasksRunAgain(t *testing.T) {
+	work := fake.Work(func(id core.TaskID) time.Duration {
+		if strings.HasPrefix(id.String(), longRunningJob) {
+			return time.Hour
+		}
+		return time.Duration(1000+id.N*200) * time.Millisecond
+	})
+	for seed := range uint64(2) {
+		x := &idleTimes{endedAt: map[string]time.Time{}}
+		w := homeWorld(seed, 9, 40, 5, work, fake.Trace(x.trace))
+		w.Run(5 * time.Second)
+		w.Do(fake.Submit{Tasks: 24, LongRunning: true, Size: core.Size{Millicores: 2500, MemoryMB: 1000}, Class: "api"})
+		w.Run(5 * time.Second)
+		for i := range 25 {
+			if i == 10 {
+				w.Do(fake.Drain{DC: 0})
+			}
+			w.Do(fake.Submit{Tasks: 8, Steps: true})
+			w.Do(fake.Submit{Tasks: 8, Steps: true})
+			w.Run(time.Second)
+		}
+		assert.Equal(t, len(w.Violations()), 0, "%v", w.Violations())
+		idle := x.idleFor(w.Now())
+		t.Logf("seed %d: without a run for up to %s; %d ends of tasks, %d orders refused",
+			seed, idle, w.Counts()["end done"], w.Counts()["restart room"])
+		assert.Assert(t, idle > 0, "no task was evicted")
+		assert.Assert(t, idle < maxIdle, "seed %d: a task had no run for %s", seed, idle)
+	}
+}
--- a/core/workerlost_test.go
+++ b/core/workerlost_test.go
@@ -10,14 +10,16 @@
 	"jayloft/core"
 )
 
-// agentHarness drives an agent with one task on a worker whose interface can be made to
-// fail.
+// agentHarness drives an agent beside a worker whose interface can be made to fail.
 type agentHarness struct {
 	a    *core.Agent
 	now  time.Time
 	down bool
 	last core.Heartbeat
-	runs bool // the worker runs the task
+	runs []core.Attempt // that the worker lists
+
+	replies  []core.StartReply
+	launches []core.Attempt
 }
 
 func (s *agentHarness) reduce(ev core.AgentEvent) {
@@ -29,8 +31,11 @@
 			case core.Inspect:
 				evs = append(evs, s.inspect())
 			case core.Launch:
-				s.runs = true
+				s.runs = append(s.runs, eff.Order.Attempt)
+				s.launches = append(s.launches, eff.Order.Attempt)
 				evs = append(evs, core.Launched{Attempt: eff.Order.Attempt, Started: true})
+			case core.StartReply:
+				s.replies = append(s.replies, eff)
 			case core.SendBeat:
 				s.last = eff.Heartbeat
 				evs = append(evs, core.HeartbeatAnswered{
@@ -46,8 +51,8 @@
 		return core.Inspected{Fault: core.FaultNoAnswer}
 	}
 	in := core.Inspected{Boot: "b", Capacity: core.Size{Millicores: 4000, MemoryMB: 8000}, Slots: 2}
-	if s.runs {
-		in.Tasks = []core.WorkerTask{{Attempt: testAttempt, Inc: s.last.Inc, Size: testSize, State: core.WorkerRunning, Started: s.now}}
+	for _, a := range s.runs {
+		in.Tasks = append(in.Tasks, core.WorkerTask{Attempt: a, Inc: s.last.Inc, Size: testSize, State: core.WorkerRunning, Started: s.now})
 	}
 	return in
 }
--- a/fake/action.go
+++ b/fake/action.go
@@ -23,6 +23,8 @@
 	// Steps makes a job of two or more tasks one of two steps, the second of
 	// which waits for the first.
 	Steps bool
+	// LongRunning makes a job of long-running tasks with a tail-latency target.
+	LongRunning bool
 }
 
 // Cancel cancels the last jobs that were submitted.
--- a/fake/do.go
+++ b/fake/do.go
@@ -65,11 +65,19 @@
 	}
 }
 
+// targetLatency is the tail-latency target of long-running tasks.
+const targetLatency = 100 * time.Millisecond
+
 func (w *World) submit(a Submit) {
 	spec := core.JobSpec{Team: "red", Class: a.Class, Size: a.Size, Urgent: a.Urgent, Once: a.Once}
 	if spec.Size == (core.Size{}) {
 		spec.Size = core.Size{Millicores: 1000, MemoryMB: 1000}
 	}
+	if a.LongRunning {
+		spec.Steps = []core.StepSpec{{Count: a.Tasks, Size: spec.Size, LongRunning: true, Target: targetLatency, Image: a.Class}}
+		w.client.submit(a.Entry, spec)
+		return
+	}
 	if a.Steps && a.Tasks > 1 {
 		first := a.Tasks / 2
 		spec.Steps = []core.StepSpec{
