core: let best-effort tasks start beside a wait for room

Cause: while a long-running task waits for room, the processors reserved exceed the capacity. A best-effort task reserves none, but was refused: zero did not fit a negative rest. The other homes learnt of the wait with the next regular heartbeat only, and sent orders that were refused.

Change: the processors of a task that does not run yet take none from best-effort tasks; a wait is reported at once; no other task waits where room is kept for one that was handed back. The time without a run is kept for long-running tasks only.

--- a/core/agentadmit.go
+++ b/core/agentadmit.go
@@ -51,6 +51,7 @@
 		order: o, admittedAt: a.at.Now, savedAt: a.at.Now, expectedSize: a.expectedSize(o), awaitsRoom: awaitsRoom,
 	}
 	if awaitsRoom {
+		a.expediteHeartbeats() // entries place no more tasks here
 		a.logEvent("start awaits room", o.Attempt.String(), "room", a.capacity.Minus(a.reserved()).Millicores)
 	}
 	a.makeRoom()
@@ -64,7 +65,7 @@
 		room = room.Plus(a.preemptible())
 	}
 	if o.BestEffort {
-		room = a.capacity.Minus(a.reserved())
+		room = a.capacity.Minus(a.reserved()).Plus(a.awaitedProcessors())
 	}
 	if o.Isolated {
 		room = a.isolationRoom(o.Attempt.Task.Job)
--- a/core/agentroom.go
+++ b/core/agentroom.go
@@ -30,10 +30,10 @@
 // short tasks by views that are a moment old would take each bit of free capacity before
 // one that needs more of it. What stays free until then goes to no other order.
 func (a *Agent) mayAwaitRoom(o Order) bool {
-	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated {
+	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated || a.keptFromOthers(o.Attempt.Task) != (Size{}) {
 		return false
 	}
-	rest := a.capacity.Minus(a.reservedByServices()).Minus(a.unmanaged).Minus(a.keptFromOthers(o.Attempt.Task))
+	rest := a.capacity.Minus(a.reservedByServices()).Minus(a.unmanaged)
 	for _, t := range a.held {
 		if t.awaitsRoom {
 			return false
@@ -67,6 +67,17 @@
 // awaitEnd returns when a task that awaits room is handed back.
 func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.permitEnd(t.order).Add(-awaitMargin) }
 
+// awaitedProcessors returns the processors that are reserved for a task that awaits room. It
+// does not run yet, so it takes none from best-effort tasks.
+func (a *Agent) awaitedProcessors() (s Size) {
+	for _, t := range a.held {
+		if t.awaitsRoom {
+			s.Millicores += t.reserved().Millicores
+		}
+	}
+	return s
+}
+
 // takesNoRoom reports whether the task has to wait until others are gone, so that nothing is
 // evicted for it.
 func (t *heldTask) takesNoRoom() bool { return t.isolationPending() || t.awaitsRoom }
--- a/core/awaitroom_test.go
+++ b/core/awaitroom_test.go
@@ -77,3 +77,45 @@
 	_, reply := s.start("long", 3500, true)
 	assert.Equal(t, reply.Reason, core.ReasonRoom)
 }
+
+// Best-effort tasks reserve no processors, so they must start beside a task that waits for
+// room.
+func TestBestEffortStartsBesideWait(t *testing.T) {
+	s := newAgentHarness()
+	s.start("short", 1500, false)
+	_, reply := s.start("long", 3500, true)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	s.reduce(core.StartAsked{Token: 1, Order: core.Order{
+		Attempt: core.Attempt{Task: core.TaskID{Job: "filler"}, Number: 1}, BestEffort: true, Echo: s.now,
+		Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Size: core.Size{Millicores: 1000, MemoryMB: 1000},
+	}})
+	reply = s.replies[len(s.replies)-1]
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+}
+
+// A task that is handed back after a wait for room gets the room that is free by then if it
+// comes back at once: no other long-running task may take its place.
+func TestHandedBackTaskKeepsItsRoom(t *testing.T) {
+	s := newAgentHarness()
+	first, _ := s.start("short1", 1500, false)
+	second, _ := s.start("short2", 1500, false)
+	_, reply := s.start("long", 3500, true)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	s.run(500 * time.Millisecond)
+	s.end(first)
+	for !slices.ContainsFunc(s.last.Ends, func(e core.End) bool { return e.Attempt.Task.Job == "long" }) {
+		s.run(100 * time.Millisecond)
+	}
+	_, reply = s.start("newer", 1500, false)
+	assert.Equal(t, reply.Reason, core.ReasonRoom)
+	_, reply = s.start("other", 3500, true)
+	assert.Equal(t, reply.Reason, core.ReasonRoom)
+	again := core.Attempt{Task: core.TaskID{Job: "long"}, Number: 2}
+	s.reduce(core.StartAsked{Token: 1, Order: core.Order{
+		Attempt: again, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Echo: s.now, Urgent: true, LongRunning: true,
+		Size: core.Size{Millicores: 3500, MemoryMB: 1000},
+	}})
+	s.end(second)
+	s.run(600 * time.Millisecond)
+	assert.Assert(t, slices.Contains(s.launches, again))
+}
--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -11,7 +11,7 @@
 // job does not avoid. It also spaces the runs of one that fails wherever it can be placed.
 const idlePatience = time.Second
 
-// idleTask is what an entry knows of a task that does not run.
+// idleTask is what an entry knows of a long-running task that does not run.
 type idleTask struct {
 	since     time.Time // orders that are refused don't change it
 	awaitedOn WorkerID  // where it has waited for room last; empty if nowhere
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -29,7 +29,7 @@
 	avoidUntil       map[WorkerID]time.Time // workers to avoid, and until when
 	waitReasons      map[int]Reason         // why tasks are waiting, by task
 	unplaceableSince time.Time              // since when a task has fitted no worker; zero if none
-	idle             map[int]*idleTask      // by task
+	idle             map[int]*idleTask      // long-running tasks, by number
 }
 
 // claim is an entry's view of one claim: the assignment of a task's attempt to an
--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -30,16 +30,20 @@
 	rank       order.Rank
 	number     uint64    // order of arrival
 	since      time.Time // when it was queued
-	idleSince  time.Time // since when it has not run
+	idleSince  time.Time // of a long-running task: since when it has not run
 }
 
 // newQueuedTask returns the queue entry of a job's task.
 func (e *Entry) newQueuedTask(j *jobView, n int) queuedTask {
 	spec := &j.row.Spec
-	return queuedTask{
-		since: e.at.Now, idleSince: j.idleSince(n, e.at.Now), task: TaskID{Job: spec.ID, N: n},
-		mayPreempt: spec.mayPreempt(spec.Step(n)), rank: e.rankOf(j),
+	st := spec.Step(n)
+	q := queuedTask{
+		since: e.at.Now, idleSince: e.at.Now, task: TaskID{Job: spec.ID, N: n}, mayPreempt: spec.mayPreempt(st), rank: e.rankOf(j),
 	}
+	if st.LongRunning {
+		q.idleSince = j.idleSince(n, e.at.Now)
+	}
+	return q
 }
 
 // rankOf returns the present rank of a job's tasks.
