core: send no refused long-running task back in a loop

Cause: a task that has not run for 1 s passed over all that its job avoids, recent refusals too.

Change: it passes over the workers on which it has failed, which it would avoid for ever.

--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -7,8 +7,8 @@
 	"jayloft/place"
 )
 
-// idlePatience is how long a long-running task without a run waits for a worker that its
-// job does not avoid. It also spaces the runs of one that fails wherever it can be placed.
+// idlePatience is how long a long-running task without a run waits for a worker other than
+// the one that it has failed on. It also spaces the runs of one that fails wherever it can be placed.
 const idlePatience = time.Second
 
 // idleTask is what an entry knows of a long-running task that does not run.
@@ -48,8 +48,8 @@
 	return id
 }
 
-// isOverdue reports whether a long-running task has waited for so long that workers which
-// its job avoids are better than none.
+// isOverdue reports whether a long-running task has waited for so long that a worker on which
+// it has failed, or one that is full, is better than none.
 func (e *Entry) isOverdue(j *jobView, q queuedTask) bool {
 	return j.row.Spec.Step(q.task.N).LongRunning && e.at.Now.Sub(q.idleSince) >= idlePatience
 }
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -167,7 +167,7 @@
 		return id, ok
 	}
 	anywhere := need
-	anywhere.Exclude = e.unfit(j, q.task.N, st)
+	anywhere.Exclude = append(e.refusing(j), e.unfit(j, q.task.N, st)...)
 	if id, ok := e.pickOne(anywhere, j, q, st); ok {
 		return id, true
 	}
@@ -315,9 +315,9 @@
 	return "", false
 }
 
-// avoided returns the workers that the task's job avoids for now, and those on which
-// the task has failed. It drops expired entries of j.avoidUntil.
-func (e *Entry) avoided(j *jobView, n int) []string {
+// refusing returns the workers that a job avoids for now, in order. It drops expired
+// entries of j.avoidUntil.
+func (e *Entry) refusing(j *jobView) []string {
 	var ids []string
 	for w, until := range j.avoidUntil {
 		if e.at.Now.Before(until) {
@@ -326,6 +326,14 @@
 			delete(j.avoidUntil, w)
 		}
 	}
+	sort.Strings(ids)
+	return ids
+}
+
+// avoided returns the workers that the task's job avoids for now, and those on which
+// the task has failed.
+func (e *Entry) avoided(j *jobView, n int) []string {
+	ids := e.refusing(j)
 	for _, w := range j.row.Tasks[n].FailedOn {
 		ids = append(ids, string(w))
 	}
--- a/core/longrun_test.go
+++ b/core/longrun_test.go
@@ -138,3 +138,22 @@
 		assert.Assert(t, idle < maxIdle, "seed %d: a task had no run for %s", seed, idle)
 	}
 }
+
+// A worker refuses each order of a long-running task for want of room, though its heartbeats
+// show some: the task must not be sent there over and over.
+func TestRefusedLongRunningTaskIsNotSentInALoop(t *testing.T) {
+	s := newWorkerHarness(t)
+	s.worker("a", "api", 0.4)
+	s.heartbeatAll()
+	s.place(longRunningStep)
+	orders, seen := 0, 0
+	for began := s.now; s.now.Sub(began) < maxIdle; s.heartbeatAll() {
+		for ; seen < len(s.all); seen++ {
+			if start, ok := s.all[seen].(core.Start); ok {
+				orders++
+				s.run(core.StartAnswered{Token: start.Token, Reason: core.ReasonRoom})
+			}
+		}
+	}
+	assert.Assert(t, orders > 1 && orders <= 4, "%d orders", orders)
+}
