core: bound the wait of a long-running suspect

A long-running task that may crash its worker could be without a run for over 9 s on a busy site with room for it (LOST).

Cause: a suspect waits up to 10 s for a worker of its own on a busy site, and each refused order began that time anew.

Change: a long-running one waits 4 s there, counted from its last run.

Result: TestSuspectedLongRunningTaskDoesNotWaitTooLong failed before (not placed within 6 s), passes now; the tests of crashes and isolation pass.

--- a/core/entryisolate.go
+++ b/core/entryisolate.go
@@ -84,10 +84,11 @@
 }
 
 // waitsForIsolation reports whether a suspect for which no worker was found goes on
-// waiting for one of its own.
-func (e *Entry) waitsForIsolation(q queuedTask) bool {
+// waiting for one of its own. Orders that are refused don't prolong the wait of a
+// long-running one.
+func (e *Entry) waitsForIsolation(q queuedTask, longRunning bool) bool {
 	busy := e.index.NonPreemptibleFraction() > busySiteUtilization
-	return e.at.Now.Before(crash.WaitsUntil(q.since, busy))
+	return e.at.Now.Before(crash.WaitsUntil(q.idleSince, busy, longRunning))
 }
 
 // pickFor chooses the worker for a task, and whether the task runs there apart from other
@@ -95,7 +96,7 @@
 func (e *Entry) pickFor(j *jobView, q queuedTask) (id WorkerID, isolated, ok bool) {
 	st := j.row.Spec.Step(q.task.N)
 	if j.isSuspect(q.task.N) {
-		if id, ok = e.pickIsolated(j, q, st); ok || e.waitsForIsolation(q) {
+		if id, ok = e.pickIsolated(j, q, st); ok || e.waitsForIsolation(q, st.LongRunning) {
 			return id, true, ok
 		}
 	}
--- a/core/longrun_test.go
+++ b/core/longrun_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"jayloft/core"
+	"jayloft/crash"
 	"jayloft/fake"
 )
 
@@ -73,6 +74,36 @@
 	assert.Assert(t, again != "" && again != first, "placed on %q after %s, failed on %s", again, after, first)
 }
 
+// commit sets the size that a worker has committed, with the job that runs apart there.
+func (s *workerHarness) commit(id core.WorkerID, millicores int64, isolated core.JobID) {
+	b := s.heartbeats[id]
+	b.Committed.Millicores, b.Isolated = millicores, isolated
+	s.heartbeats[id] = b
+}
+
+// A long-running task that may crash workers finds none of its own on a busy site: it must
+// not wait for one longer than any long-running task may.
+func TestSuspectedLongRunningTaskDoesNotWaitTooLong(t *testing.T) {
+	s := newWorkerHarness(t)
+	for _, id := range []core.WorkerID{"a", "b", "c", "d", "e", "f"} {
+		s.worker(id, "api", 0.4)
+	}
+	s.commit("a", 32000, "other1")
+	s.commit("b", 32000, "other2")
+	s.commit("c", 32000, "")
+	s.commit("d", 32000, "")
+	s.commit("e", 16000, "")
+	s.commit("f", 16000, "")
+	s.heartbeatAll()
+	first, attempt := s.place(longRunningStep)
+	s.endRun(first, core.End{
+		Attempt: attempt, Kind: core.EndCrashed, Started: true, Crash: crash.Evidence{Ran: time.Millisecond},
+	})
+	again, after := s.placedWithin(maxIdle)
+	assert.Assert(t, again != "", "not placed within %s", after)
+	assert.Assert(t, after > time.Second, "placed beside others at once")
+}
+
 // longRunningJob is the first job of a World, in tests of long-running tasks.
 const longRunningJob = "job0."
 
--- a/crash/host.go
+++ b/crash/host.go
@@ -71,17 +71,22 @@
 func MaxApart(workers int) int { return max(2, workers/hostsPerSuspect) }
 
 const (
-	// maxWait is how long a suspect waits for a worker of its own, and maxWaitBusy how
-	// long on a busy site. Then it is placed like any other task.
-	maxWait     = 2 * time.Second
-	maxWaitBusy = 10 * time.Second
+	// maxWait is how long a suspect waits for a worker of its own, maxWaitBusy how long on
+	// a busy site, and maxWaitLongRunning how long there if it is long-running, which must
+	// not be without a run for more than 6 s. Then it is placed like any other task.
+	maxWait            = 2 * time.Second
+	maxWaitBusy        = 10 * time.Second
+	maxWaitLongRunning = 4 * time.Second
 )
 
-// WaitsUntil returns until when a suspect that was queued at a time waits for a worker of
-// its own.
-func WaitsUntil(queued time.Time, busy bool) time.Time {
-	if busy {
-		return queued.Add(maxWaitBusy)
+// WaitsUntil returns until when a suspect that has had no run since a time waits for a
+// worker of its own.
+func WaitsUntil(since time.Time, busy, longRunning bool) time.Time {
+	switch {
+	case busy && longRunning:
+		return since.Add(maxWaitLongRunning)
+	case busy:
+		return since.Add(maxWaitBusy)
 	}
-	return queued.Add(maxWait)
+	return since.Add(maxWait)
 }
