--- a/core/longrun_test.go
+++ b/core/longrun_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -107,6 +108,14 @@
 // longRunningJob is the first job of a World, in tests of long-running tasks.
 const longRunningJob = "job0."
 
+// workBesideLongRunning makes the tasks of longRunningJob run on, and all others for 1 to 3 s.
+var workBesideLongRunning = fake.Work(func(id core.TaskID) time.Duration {
+	if strings.HasPrefix(id.String(), longRunningJob) {
+		return time.Hour
+	}
+	return time.Duration(1000+id.N*200) * time.Millisecond
+})
+
 // idleTimes records how long the tasks of longRunningJob are without a run.
 type idleTimes struct {
 	endedAt map[string]time.Time // of tasks without a run
@@ -141,15 +150,9 @@
 // A drain evicts long-running tasks while several homes place short tasks that take each bit
 // of free capacity. The long-running ones must not lose all races for it.
 func TestEvictedLongRunningTasksRunAgain(t *testing.T) {
-	work := fake.Work(func(id core.TaskID) time.Duration {
-		if strings.HasPrefix(id.String(), longRunningJob) {
-			return time.Hour
-		}
-		return time.Duration(1000+id.N*200) * time.Millisecond
-	})
 	for seed := range uint64(2) {
 		x := &idleTimes{endedAt: map[string]time.Time{}}
-		w := homeWorld(seed, 9, 40, 5, work, fake.Trace(x.trace))
+		w := homeWorld(seed, 9, 40, 5, workBesideLongRunning, fake.Trace(x.trace))
 		w.Run(5 * time.Second)
 		w.Do(fake.Submit{Tasks: 24, LongRunning: true, Size: core.Size{Millicores: 2500, MemoryMB: 1000}, Class: "api"})
 		w.Run(5 * time.Second)
@@ -170,6 +173,37 @@
 	}
 }
 
+// Long-running tasks wait for room while workers crash, shrink, pause and restart: no start
+// may bring a worker over its capacity, and no task may run twice.
+func TestWaitsForRoomAreSafeUnderFaults(t *testing.T) {
+	waits := 0
+	count := fake.Trace(func(_ time.Time, _, what string) {
+		if strings.Contains(what, "start awaits room") {
+			waits++
+		}
+	})
+	for seed := range uint64(4) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		w := homeWorld(seed, 5, 12, 3, workBesideLongRunning, count)
+		w.Run(5 * time.Second)
+		w.Do(fake.Submit{Tasks: 9, LongRunning: true, Size: core.Size{Millicores: 2500, MemoryMB: 1000}, Class: "api"})
+		for range 40 {
+			vm, d := r.IntN(12), time.Duration(500+r.IntN(3000))*time.Millisecond
+			faults := []fake.Action{
+				fake.CrashWorker{VM: vm, For: d}, fake.KillVM{VM: vm, For: d}, fake.KillAgent{VM: vm, For: d / 4},
+				fake.PauseAgent{VM: vm, For: d}, fake.PauseVM{VM: vm, For: d}, fake.Resize{VM: vm, Percent: 60, For: d},
+				fake.KillEntry{Entry: vm, For: d}, fake.CutVM{VM: vm, Entry: -1, For: d}, fake.Net{Delay: d / 2, Double: 0.3, For: d},
+			}
+			w.Do(faults[r.IntN(len(faults))])
+			w.Do(fake.Submit{Entry: vm, Tasks: 6, Steps: true})
+			w.Run(time.Second)
+		}
+		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
+	}
+	t.Logf("%d waits for room", waits)
+	assert.Assert(t, waits > 0)
+}
+
 // A worker refuses each order of a long-running task for want of room, though its heartbeats
 // show some: the task must not be sent there over and over.
 func TestRefusedLongRunningTaskIsNotSentInALoop(t *testing.T) {
