--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -346,6 +346,10 @@
 		e.answerWaiters(j, JobStop)
 		e.stopClaims(j)
 	case endEdit:
+		if ed.end.Started {
+			j.noteRun(ed.task())
+		}
+		j.noteHandedBack(ed.end, ed.worker)
 		e.advanceStep(j, ed)
 	}
 	e.reconcileEdit(j, ed)
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -142,10 +142,13 @@
 
 // pick chooses the worker for a task: batch tasks are packed densely, urgent ones
 // spread, and urgent tasks may preempt batch tasks. A task whose data is in a rack is
-// placed in that rack if there is room.
+// placed in that rack if there is room. An overdue task goes where there is room at all.
 func (e *Entry) pick(j *jobView, q queuedTask) (WorkerID, bool) {
 	st := j.row.Spec.Step(q.task.N)
 	need := e.need(j, q, st)
+	if w := e.workers[j.takeAwaited(q.task.N)]; st.LongRunning && w != nil && e.canAwait(w, need) {
+		return w.id, true
+	}
 	if j.isSuspect(q.task.N) {
 		reliable := need
 		reliable.Exclude = append(slices.Clone(need.Exclude), e.lessReliable()...)
@@ -160,7 +163,15 @@
 			return id, true
 		}
 	}
-	return e.pickOne(need, j, q, st)
+	if id, ok := e.pickOne(need, j, q, st); ok || !e.isOverdue(j, q) {
+		return id, ok
+	}
+	anywhere := need
+	anywhere.Exclude = append(e.refusing(j), e.unfit(j, q.task.N, st)...)
+	if id, ok := e.pickOne(anywhere, j, q, st); ok {
+		return id, true
+	}
+	return e.pickAwaited(need)
 }
 
 // need returns a task's requirements for placement.
@@ -304,9 +315,9 @@
 	return "", false
 }
 
-// avoided returns the workers that the task's job avoids for now, and those on which
-// the task has failed. It drops expired entries of j.avoidUntil.
-func (e *Entry) avoided(j *jobView, n int) []string {
+// refusing returns the workers that a job avoids for now, in order. It drops expired
+// entries of j.avoidUntil.
+func (e *Entry) refusing(j *jobView) []string {
 	var ids []string
 	for w, until := range j.avoidUntil {
 		if e.at.Now.Before(until) {
@@ -315,6 +326,14 @@
 			delete(j.avoidUntil, w)
 		}
 	}
+	sort.Strings(ids)
+	return ids
+}
+
+// avoided returns the workers that the task's job avoids for now, and those on which
+// the task has failed.
+func (e *Entry) avoided(j *jobView, n int) []string {
+	ids := e.refusing(j)
 	for _, w := range j.row.Tasks[n].FailedOn {
 		ids = append(ids, string(w))
 	}
--- a/core/workerlost_test.go
+++ b/core/workerlost_test.go
@@ -10,17 +10,19 @@
 	"jayloft/core"
 )
 
-// agentHarness drives an agent with one task on a worker whose interface can be made to
-// fail.
+// agentHarness drives an agent beside a worker whose interface can be made to fail.
 type agentHarness struct {
 	a    *core.Agent
 	now  time.Time
 	down bool
 	last core.Heartbeat
-	runs bool // the worker runs the task
+	runs []core.Attempt // that the worker lists
 
 	partial bool          // the worker's lists are cut
 	unread  []core.TaskID // tasks whose rows can't be read
+
+	replies  []core.StartReply
+	launches []core.Attempt
 }
 
 // newAgentHarness returns an agent that has joined.
@@ -43,8 +45,11 @@
 			case core.Inspect:
 				evs = append(evs, s.inspect())
 			case core.Launch:
-				s.runs = true
+				s.runs = append(s.runs, eff.Order.Attempt)
+				s.launches = append(s.launches, eff.Order.Attempt)
 				evs = append(evs, core.Launched{Attempt: eff.Order.Attempt, Epoch: eff.Epoch, Started: true})
+			case core.StartReply:
+				s.replies = append(s.replies, eff)
 			case core.SendBeat:
 				s.last = eff.Heartbeat
 				evs = append(evs, core.HeartbeatAnswered{
@@ -60,8 +65,8 @@
 		return core.Inspected{Fault: core.FaultNoAnswer}
 	}
 	in := core.Inspected{Boot: "b", Capacity: core.Size{Millicores: 4000, MemoryMB: 8000}, Slots: 2, Partial: s.partial, Unread: s.unread}
-	if s.runs {
-		in.Tasks = []core.WorkerTask{{Attempt: testAttempt, Inc: s.last.Inc, Size: testSize, State: core.WorkerRunning, Started: s.now}}
+	for _, a := range s.runs {
+		in.Tasks = append(in.Tasks, core.WorkerTask{Attempt: a, Inc: s.last.Inc, Size: testSize, State: core.WorkerRunning, Started: s.now})
 	}
 	return in
 }
@@ -111,7 +116,7 @@
 			Attempt: testAttempt, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Echo: s.now, Size: testSize, Class: "c",
 		}})
 		s.run(5 * time.Second)
-		s.runs = false
+		s.runs = nil
 		hide(s)
 		s.run(5 * time.Second)
 		assert.DeepEqual(t, s.last.Running, []core.Attempt{testAttempt})
