--- a/core/oddrow_test.go
+++ b/core/oddrow_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"testing"
@@ -296,3 +297,46 @@
 	}
 	assert.DeepEqual(t, outcomes, map[core.Token]core.JobOutcome{77: core.JobUnknown, 78: core.JobAccepted})
 }
+
+// Bytes that are no row are an error of Decode, however deep or large they claim to be.
+func TestDecodeOfOddBytes(t *testing.T) {
+	keys := []string{
+		core.KeyVersion, core.KeyQueues, core.KeyDC("dc"), core.KeyInterference, core.PrefixEntry + "e",
+		keyOfJob(testJob), core.PrefixFence + "w", core.PrefixOp + "c",
+	}
+	for name, b := range map[string][]byte{
+		"nothing":          {},
+		"not UTF-8":        {0x61, 0xff},
+		"JSON":             []byte(`{"version":1}`),
+		"deep array":       bytes.Repeat([]byte{0x81}, 10_000),
+		"very deep array":  bytes.Repeat([]byte{0x81}, 1_000_000),
+		"deep map":         bytes.Repeat([]byte{0xa1, 0x01}, 1_000_000),
+		"deep tags":        bytes.Repeat([]byte{0xc1}, 1_000_000),
+		"claims 2^63 rows": {0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"claims 2^63 text": {0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"array for a map":  {0x84, 0x01, 0x02, 0x03, 0x04},
+		"text for all":     {0xa3, 0x01, 0x81, 0x61, 'x', 0x02, 0x81, 0x61, 'x', 0x03, 0x61, 'x'},
+		"junk":             bytes.Repeat([]byte{0xff}, 4<<20),
+	} {
+		for _, key := range keys {
+			_, err := core.Decode(key, b)
+			assert.Assert(t, err != nil, "%s: %s", key, name)
+		}
+	}
+}
+
+// FuzzDecode decodes rows of jobs and entries, and has an entry schedule what they hold.
+func FuzzDecode(f *testing.F) {
+	h := newEntryHarness(&testing.T{})
+	f.Add(h.row(keyOfJob(testJob), goodJob()).Value, h.row(core.PrefixEntry+"peer", goodEntry(1)).Value)
+	f.Add([]byte{0xa0}, []byte{0xa0})
+	f.Fuzz(func(t *testing.T, job, entry []byte) {
+		h := newEntryHarness(t)
+		h.sendHeartbeat(8)
+		h.readShardsWith(
+			table.Row{Key: keyOfJob(testJob), Version: h.rev, Value: job},
+			table.Row{Key: core.PrefixEntry + "peer", Version: h.rev, Value: entry},
+		)
+		h.commitAll(testJob)
+	})
+}
