codec: expect no unread tasks from the wire

TestInspectedFromWireSetsAllFields requires each field of Inspected to come from the wire but for Fault. Unread has no field there either: the messages of jayloft's own workers are typed, so that no single task of them can be unreadable. The test requires that it is empty in place of that it is set.

--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -211,6 +211,8 @@
 		}},
 	})
 	in.Fault = core.FaultNoAnswer // not from the wire
+	assert.Equal(t, len(in.Unread), 0)
+	in.Unread = []core.TaskID{attempt.Task} // not from the wire, whose messages are typed
 	assertAllFieldsSet(t, in)
 }
 
