--- a/core/entry.go
+++ b/core/entry.go
@@ -52,6 +52,9 @@
 	queue  taskQueue
 	group  commitGroup
 	quota  limit.Quota
+	load   loadView
+
+	nextIdleCheck time.Time // when long-running tasks without a run are next looked for
 
 	services map[string]*serviceView
 	requests map[RequestID]*request
@@ -184,6 +187,8 @@
 	e.advanceJobRequests()
 	e.advanceInterference()
 	e.schedule()
+	e.advanceIdle()
+	e.advanceLoad()
 	e.advanceFlush()
 	e.advanceLeave()
 	e.scheduleWake()
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -153,6 +153,7 @@
 // incarnation.
 func (e *Entry) applyHeartbeat(w *workerView, hb Heartbeat, ans *HeartbeatAnswer) {
 	e.noteEchoCandidate(w, hb.Sent)
+	e.load.heartbeats++
 	w.heartbeatAt = e.at.Now
 	w.peersAskedAt = time.Time{}
 	if !hb.Sent.After(w.heartbeat.Sent) {
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -78,6 +78,8 @@
 	c.releasing = true
 	j.avoidUntil[c.holder.Worker] = e.at.Now.Add(refusalAvoidTime)
 	e.count("restart", r)
+	e.load.refused++
+	j.noteRefusal(c.attempt.Task.N, r)
 	end := End{Attempt: c.attempt, Kind: EndLost, Reason: "not started: " + string(r)}
 	e.addEdit(j, endEdit{end: end, worker: c.holder.Worker, neverStarted: true})
 }
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -289,6 +289,7 @@
 // edits again.
 func (e *Entry) handleGroupConflict(t *groupTxn, rows []table.Row) {
 	e.count("conflict", ReasonStore)
+	e.load.conflicts++
 	for _, j := range t.jobs {
 		j.edits = append(j.inFlight, j.edits...)
 		j.inFlight = nil
@@ -347,7 +348,7 @@
 		e.stopClaims(j)
 	case endEdit:
 		if ed.end.Started {
-			j.noteRun(ed.task())
+			e.noteRun(j, ed.task())
 		}
 		j.noteHandedBack(ed.end, ed.worker)
 		e.advanceStep(j, ed)
--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"jayloft/place"
@@ -15,6 +16,9 @@
 type idleTask struct {
 	since     time.Time // orders that are refused don't change it
 	awaitedOn WorkerID  // where it has waited for room last; empty if nowhere
+	orders    int       // orders that did not start it
+	refusal   Reason    // of the last of them
+	loggedAt  time.Time
 }
 
 // idleSince returns since when a task has not run, as far as this entry knows.
@@ -30,7 +34,20 @@
 }
 
 // noteRun records that a task runs, or has just ended a run.
-func (j *jobView) noteRun(n int) { delete(j.idle, n) }
+func (e *Entry) noteRun(j *jobView, n int) {
+	if t := j.idle[n]; t != nil {
+		e.measure("idle", t.since)
+		delete(j.idle, n)
+	}
+}
+
+// noteRefusal records that an order has not started a task.
+func (j *jobView) noteRefusal(n int, r Reason) {
+	if t := j.idle[n]; t != nil {
+		t.orders++
+		t.refusal = r
+	}
+}
 
 // noteHandedBack records that a worker has handed a long-running task back which has waited
 // there for room. The room that is free by now is kept for it for a moment.
@@ -83,3 +100,72 @@
 	left := w.heartbeat.Capacity.Minus(Size{Millicores: w.longRunningMillicores()})
 	return need.Size.Fits(left) && !slices.Contains(need.Exclude, string(w.id))
 }
+
+const (
+	// idleCheckInterval is the time between two searches for long-running tasks without a run.
+	idleCheckInterval = time.Second
+	// idleLogAfter is how long such a task may wait before it is logged, and the time between
+	// two log lines about it.
+	idleLogAfter = 2 * time.Second
+)
+
+// advanceIdle logs the long-running tasks that have had no run for idleLogAfter.
+func (e *Entry) advanceIdle() {
+	if e.at.Now.Before(e.nextIdleCheck) {
+		return
+	}
+	e.nextIdleCheck = e.at.Now.Add(idleCheckInterval)
+	for _, id := range e.idleTasks() {
+		j := e.jobs[id.Job]
+		if t := j.idle[id.N]; e.at.Now.Sub(latest(t.since, t.loggedAt)) >= idleLogAfter {
+			e.logIdle(j, id.N, t)
+		}
+	}
+}
+
+// idleTasks returns the long-running tasks without a run that this entry schedules, in order.
+func (e *Entry) idleTasks() []TaskID {
+	var ids []TaskID
+	for id, j := range e.jobs {
+		for n := range j.idle {
+			if !j.foreign {
+				ids = append(ids, TaskID{Job: id, N: n})
+			}
+		}
+	}
+	sort.Slice(ids, func(i, k int) bool { return lessTask(ids[i], ids[k]) })
+	return ids
+}
+
+// logIdle logs since when a task has not run, and what it waits for.
+func (e *Entry) logIdle(j *jobView, n int, t *idleTask) {
+	t.loggedAt = e.at.Now
+	stage, w := j.idleStage(n)
+	e.logEvent("task idle", TaskID{Job: j.row.Spec.ID, N: n}.String(), "since", e.at.Now.Sub(t.since).String(),
+		"stage", stage, "reason", string(j.waitReasons[n]), "worker", string(w), "orders", t.orders, "refusal", string(t.refusal))
+}
+
+// Stages of a long-running task without a run, for logs.
+const (
+	idleQueued    = "queued"    // no worker has been chosen
+	idleUnwritten = "unwritten" // the claim is not in the table yet
+	idleOrdered   = "ordered"   // its agent has not answered the order
+	idleAdmitted  = "admitted"  // its agent has not reported a run yet
+	idleReleased  = "released"  // the release of the claim is not in the table yet
+)
+
+// idleStage returns how far the next run of a task has come, and where it is to run.
+func (j *jobView) idleStage(n int) (stage string, w WorkerID) {
+	c := j.claims[n]
+	switch {
+	case c == nil:
+		return idleQueued, ""
+	case c.releasing:
+		return idleReleased, c.holder.Worker
+	case !c.committed:
+		return idleUnwritten, c.holder.Worker
+	case c.startedAt.IsZero():
+		return idleOrdered, c.holder.Worker
+	}
+	return idleAdmitted, c.holder.Worker
+}
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -268,7 +268,7 @@
 		c.reported, c.reportedAt = true, e.at.Now
 		c.launched = c.launched || !slices.Contains(w.heartbeat.Launching, t)
 		if j := e.jobs[t.Task.Job]; j != nil && c.launched {
-			j.noteRun(t.Task.N)
+			e.noteRun(j, t.Task.N)
 		}
 		return
 	}
@@ -361,6 +361,7 @@
 		return true
 	case !e.at.Now.Before(o.nextRead):
 		o.nextRead = e.at.Now.Add(orphanTimeout)
+		e.load.orphanReads++
 		e.emit(ReadRows{Token: e.expect(pendingJobRead{w: w, end: end}), Keys: []string{keyJob(t.Task.Job)}})
 	}
 	return false
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -115,6 +115,7 @@
 		j.waitReasons[t.N] = ReasonQuota
 		return false
 	}
+	e.load.tried++
 	id, isolated, ok := e.pickFor(j, q)
 	if !ok && isolated {
 		j.waitReasons[t.N] = ReasonIsolated
@@ -132,6 +133,7 @@
 	c := j.newClaim(t.N, number, h, e.at.Now)
 	c.isolated = isolated
 	e.addClaim(j, c)
+	e.load.placed++
 	e.measure("place", q.since)
 	e.logEvent("task placed", Attempt{Task: t, Number: number}.String(), "worker", string(w.id), "inc", string(w.inc),
 		"free", w.heartbeat.Capacity.Minus(w.heartbeat.Committed).Millicores, "size", j.row.Spec.Step(t.N).Size.Millicores,
--- a/core/export_test.go
+++ b/core/export_test.go
@@ -19,3 +19,6 @@
 	}
 	panic("disable guard: no such guard: " + name)
 }
+
+// Tried returns the number of tasks for which the entry has looked for a worker.
+func (e *Entry) Tried() int { return e.load.tried }
