--- a/fake/entry.go
+++ b/fake/entry.go
@@ -27,6 +27,8 @@
 	judges map[core.Token]judge
 	// passing is set while the entry handles another entry's answer.
 	passing *core.JobAnswer
+	backlog []core.EntryEvent // events that wait for the processor
+	busy    bool              // an event is being handled, see EntryCost
 }
 
 func newEntry(w *World, n int) *entry {
@@ -43,6 +45,7 @@
 	e.jobRequests = make(map[core.Token]func(core.JobAnswer))
 	e.queries = make(map[core.Token]func(core.CommandResult))
 	e.judges = make(map[core.Token]judge)
+	e.backlog, e.busy = nil, false
 	identity := core.EntryIdentity{ID: e.id(), Addr: entryAddr(e.n), DC: dcName(e.n % e.w.cfg.dcs), Millicores: 800}
 	e.reducer = core.NewEntry(identity, e.w.cfg.core...)
 	e.reduce(core.Tick{})
@@ -74,7 +77,37 @@
 	})
 }
 
+// reduce passes an event to the reducer: at once, or after those before it if events cost
+// processor time.
 func (e *entry) reduce(ev core.EntryEvent) {
+	if e.w.cfg.entryCost == nil {
+		e.handle(ev)
+		return
+	}
+	e.backlog = append(e.backlog, ev)
+	if !e.busy {
+		e.advanceBacklog(e.proc.life)
+	}
+}
+
+// advanceBacklog handles the next event of the backlog, and the others once the processor
+// time that it took has passed.
+func (e *entry) advanceBacklog(life int) {
+	if !e.proc.up || e.proc.life != life {
+		return
+	}
+	if e.busy = len(e.backlog) > 0; !e.busy {
+		return
+	}
+	ev := e.backlog[0]
+	e.backlog = e.backlog[1:]
+	e.handle(ev)
+	e.w.after(e.w.cfg.entryCost(e.reducer, ev), func() {
+		e.w.deliver(e.proc, life, func() { e.advanceBacklog(life) })
+	})
+}
+
+func (e *entry) handle(ev core.EntryEvent) {
 	life := e.proc.life
 	if e.w.trace != nil {
 		e.w.log(e.proc.name, fmt.Sprintf("<- %T%+v", ev, ev))
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -73,6 +73,8 @@
 	work     func(task core.TaskID) time.Duration
 	serve    func(id core.RequestID) time.Duration
 	trace    func(at time.Time, who, what string)
+
+	entryCost func(EntryReducer, core.EntryEvent) time.Duration
 }
 
 // Option changes how a World is built.
@@ -114,6 +116,12 @@
 	return func(c *config) { c.serve = f }
 }
 
+// EntryCost sets the processor time that an entry takes for each event that its reducer has
+// handled. Later events wait meanwhile. Without it events take no time.
+func EntryCost(f func(EntryReducer, core.EntryEvent) time.Duration) Option {
+	return func(c *config) { c.entryCost = f }
+}
+
 // Trace sets a function that is told of each event and effect.
 func Trace(f func(at time.Time, who, what string)) Option {
 	return func(c *config) { c.trace = f }
