--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -12,11 +12,6 @@
 
 // Limits and delays of placement.
 const (
-	// maxPlacements bounds the placements from one queue in one call of schedule.
-	maxPlacements = 256
-	// maxPlaceFailures bounds the tasks, or steps of jobs, without room that are
-	// skipped before the rest of the queue waits for the next call.
-	maxPlaceFailures = 48
 	// refusalAvoidTime is how long a job avoids a worker that refused or lost one of
 	// its tasks.
 	refusalAvoidTime = 2 * time.Second
@@ -32,61 +27,8 @@
 	// busySiteUtilization is the site utilization from which on such a job waits
 	// longer. The requirements say 0.5; the entry's view of the site is delayed.
 	busySiteUtilization = 0.6
-	// placeRetryInterval is how long a queue without room waits if nothing changes.
-	placeRetryInterval = 250 * time.Millisecond
 )
 
-// schedule places queued tasks, urgent ones first.
-func (e *Entry) schedule() {
-	if e.leaving || !e.hasConfig() || e.breaker.IsOpen(e.at.Now) || len(e.group.dirty) > 2*e.pol.TxnRows {
-		return
-	}
-	if e.queue.blocked && e.at.Now.Before(e.queue.retryAt) {
-		return
-	}
-	e.sortQueue()
-	e.queue.urgent = e.placeAll(e.queue.urgent)
-	e.queue.batch = e.placeAll(e.queue.batch)
-}
-
-// placeAll places the tasks of one queue in order and returns those that remain.
-func (e *Entry) placeAll(ts []queuedTask) []queuedTask {
-	var left []queuedTask
-	failures, suspects, placed := 0, 0, 0
-	failed := map[stepID]bool{} // steps with a task that found no room
-	for i, w := range ts {
-		if failures >= maxPlaceFailures || placed >= maxPlacements {
-			left = append(left, ts[i:]...)
-			break
-		}
-		t := w.task
-		if !e.queue.has[t] {
-			continue
-		}
-		step := e.stepOf(t)
-		if failed[step] {
-			left = append(left, w)
-			continue
-		}
-		if e.placeTask(w) {
-			placed++
-			e.queue.remove(t)
-			continue
-		}
-		left = append(left, w)
-		if e.jobs[t.Job].waitReasons[t.N] == ReasonIsolated {
-			suspects++ // it holds up neither its step nor the rest of the queue
-			continue
-		}
-		failures++
-		failed[step] = len(e.jobs[t.Job].row.Spec.Steps) > 0
-	}
-	if failures+suspects > 0 {
-		e.queue.blocked, e.queue.retryAt = true, e.at.Now.Add(placeRetryInterval)
-	}
-	return left
-}
-
 // stepID identifies a step of a job.
 type stepID struct {
 	job  JobID
@@ -204,8 +146,7 @@
 		return e.firstFit(need)
 	}
 	if len(j.row.Spec.Steps) > 0 {
-		stuck := len(j.claims) == 0 && e.at.Now.Sub(q.since) > bestEffortMaxWait && e.index.NonPreemptibleFraction() < busySiteUtilization
-		id, ok := e.pickSeparated(need, st, stuck, seed)
+		id, ok := e.pickSeparated(need, st, e.isStuck(j, q), seed)
 		return WorkerID(id), ok
 	}
 	if !q.mayPreempt {
--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -15,12 +15,16 @@
 // apart from batch tasks and placed first.
 type taskQueue struct {
 	urgent, batch []queuedTask
-	has           map[TaskID]bool // tasks that have not been removed
-	unsorted      bool
-	sortedAt      time.Time // when the ranks were last updated
-	added         uint64    // number of tasks ever added
-	blocked       bool      // no room was found, and nothing has changed since
-	retryAt       time.Time // when placement is tried again while blocked
+	// newUrgent and newBatch came since the last scan.
+	newUrgent, newBatch []queuedTask
+
+	has       map[TaskID]bool // tasks that have not been removed
+	unsorted  bool
+	sortedAt  time.Time // when the ranks were last updated
+	added     uint64    // number of tasks ever added
+	blocked   bool      // no room was found, and nothing has changed since
+	retryAt   time.Time // when placement is tried again while blocked
+	restUntil time.Time // no scan begins before
 }
 
 // queuedTask is a task that waits for a worker, with its place in the order.
@@ -62,7 +66,7 @@
 	return order.RankOf(e.at.Now, job)
 }
 
-// add queues a task that is not queued yet, and unblocks the queue.
+// add queues a task that is not queued yet. It is considered at once, before the next scan.
 func (q *taskQueue) add(w queuedTask) {
 	if q.has[w.task] {
 		return
@@ -74,11 +78,20 @@
 	q.added++
 	w.number = q.added
 	if w.mayPreempt {
-		q.urgent = append(q.urgent, w)
+		q.newUrgent = append(q.newUrgent, w)
 	} else {
-		q.batch = append(q.batch, w)
+		q.newBatch = append(q.newBatch, w)
+	}
+}
+
+// mergeNew moves the tasks that came since the last scan to the others.
+func (q *taskQueue) mergeNew() {
+	if len(q.newUrgent)+len(q.newBatch) == 0 {
+		return
 	}
-	q.unsorted, q.blocked = true, false
+	q.urgent, q.batch = append(q.urgent, q.newUrgent...), append(q.batch, q.newBatch...)
+	q.newUrgent, q.newBatch = nil, nil
+	q.unsorted = true
 }
 
 // remove takes a task out. Its place in the order is dropped when the task is next
