core: let one home record the ends of an owner that is behind

An end that its owner had not recorded within 3 s was read up and written by every other home that had heard of it, once for each task. Owners that were behind thus made eight other entries read and write the same rows, and their own transactions of 30 jobs conflict with those writes: all entries fell behind together.

Agents now say which homes do not answer them (Heartbeat.Unheard). Only the shard's backup takes the owner's place, after 3 s if the owner does not answer the agent and after 6 s if it does; the other homes 6 s later. Rows are read by job, up to 16 in one call, one call at a time.

TestOneHomeRecordsEndsOfASlowOwner: 231 rows read before, 3 now. It failed before.

--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -37,7 +37,7 @@
 		Slots: a.slots, Services: a.serve.loads(a.services, a.at.Now),
 		Config: a.config.rev, Leaving: a.isClosed() || a.workerDown() || a.workerUnresponsive(),
 		LeaseLapsed: a.leaseLapsed(), Isolated: a.isolatedJob(),
-		Unsettled: a.mayOutliveAgent(),
+		Unsettled: a.mayOutliveAgent(), Unheard: a.unheardHomes(),
 	}
 	b.Window, b.TailLatencies, b.BestEffort, b.Slowed = a.windows, a.tailLatencies, a.bestEffortLoads(), a.slowedTasks()
 	for _, t := range a.heldByUnsavedWork() {
--- a/core/agentpeer.go
+++ b/core/agentpeer.go
@@ -18,6 +18,7 @@
 	inFlight   bool
 	answeredAt time.Time
 	namedAt    time.Time // when an entry last named it as a home; zero if none has
+	since      time.Time // when it became a peer
 }
 
 const (
@@ -27,6 +28,9 @@
 	// namedTimeout is how long an entry stays a peer after it was last named as a home.
 	// Answers of entries with different views of the homes name different ones.
 	namedTimeout = 2 * time.Second
+	// unheardAfter is how long a home must not have answered to be listed in
+	// Heartbeat.Unheard.
+	unheardAfter = 2 * time.Second
 	// reportInterval is the minimum time between two heartbeats to an entry that report
 	// changes of tasks which other entries have ordered.
 	reportInterval = 100 * time.Millisecond
@@ -93,11 +97,23 @@
 	return addrs
 }
 
+// unheardHomes returns the homes that have not answered for unheardAfter, in order.
+func (a *Agent) unheardHomes() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for addr, p := range a.peers {
+		if p.isHome(a.at.Now) && a.at.Now.Sub(latest(p.since, p.answeredAt)) > unheardAfter {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	return addrs
+}
+
 // addPeer returns the peer at an address, a new one if there is none.
 func (a *Agent) addPeer(addr netip.AddrPort) *entryPeer {
 	p := a.peers[addr]
 	if p == nil {
-		p = &entryPeer{next: a.at.Now}
+		p = &entryPeer{next: a.at.Now, since: a.at.Now}
 		a.peers[addr] = p
 	}
 	return p
--- a/core/entry.go
+++ b/core/entry.go
@@ -54,6 +54,8 @@
 	quota  limit.Quota
 	load   loadView
 
+	orphans orphanReads
+
 	nextIdleCheck time.Time // when long-running tasks without a run are next looked for
 
 	services map[string]*serviceView
@@ -186,6 +188,7 @@
 	e.advanceCommands()
 	e.advanceJobRequests()
 	e.advanceInterference()
+	e.advanceOrphans()
 	e.schedule()
 	e.advanceIdle()
 	e.advanceLoad()
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -288,10 +288,6 @@
 	}
 }
 
-// orphanTimeout is how long a job's owner may leave an end unrecorded before any other
-// entry that receives it records it, and the time between reads of the job's row.
-const orphanTimeout = 3 * time.Second
-
 // recordEnd records the end of an attempt. It is acknowledged to the agent only once
 // the table holds the end, or a later change that makes it void.
 func (e *Entry) recordEnd(w *workerView, end End, ans *HeartbeatAnswer) {
@@ -319,100 +315,11 @@
 	e.addEdit(j, endEdit{end: end, worker: w.id})
 }
 
-// reconcileStray handles a running attempt of a job in an owned shard that this entry
-// does not know. The job may be new, stored by an entry that considered itself
-// the owner; only a read proves that there is none.
-func (e *Entry) reconcileStray(w *workerView, t Attempt, ans *HeartbeatAnswer) {
-	if sh := &e.shards[ShardOf(t.Task.Job)]; !sh.owned || !sh.loaded {
-		return
-	}
-	if e.isForeignAttemptOver(w, End{Attempt: t}) {
-		ans.Moved = append(ans.Moved, t)
-	}
-}
-
-// orphanEnd is the state of an attempt of a job that this entry does not own or know:
-// its end may be left unrecorded by the owner.
-type orphanEnd struct {
-	nextRead time.Time // when the job's row is next read
-	over     bool      // the table holds the end, or a later change
-}
-
-// recordOrphanEnd handles the end of an attempt of another entry's job. If the owner
-// does not record it, perhaps because it receives no heartbeats from the agent, this
-// entry does.
-func (e *Entry) recordOrphanEnd(w *workerView, end End, ans *HeartbeatAnswer) {
-	if e.isForeignAttemptOver(w, end) {
-		ans.Recorded = append(ans.Recorded, end.Attempt)
-	}
-}
-
-// isForeignAttemptOver reports whether the table holds the end of an attempt, or a
-// later change; if so, it forgets the attempt. While agents keep reporting the attempt,
-// the job's row is read every orphanTimeout. The end of a running attempt has no kind.
-func (e *Entry) isForeignAttemptOver(w *workerView, end End) bool {
-	t := end.Attempt
-	o := w.orphanEnds[t]
-	switch {
-	case o == nil:
-		w.orphanEnds[t] = &orphanEnd{nextRead: e.at.Now.Add(orphanTimeout)}
-	case o.over:
-		delete(w.orphanEnds, t)
-		return true
-	case !e.at.Now.Before(o.nextRead):
-		o.nextRead = e.at.Now.Add(orphanTimeout)
-		e.load.orphanReads++
-		e.emit(ReadRows{Token: e.expect(pendingJobRead{w: w, end: end}), Keys: []string{keyJob(t.Task.Job)}})
-	}
-	return false
-}
-
-// pendingJobRead awaits the row of another entry's job, to record an end in it.
-type pendingJobRead struct {
-	w   *workerView
-	end End
-}
-
-func (pendingJobRead) pendingAnswer() {}
-
-// handleJobRead records an orphan end, or notes that the attempt is over.
-func (e *Entry) handleJobRead(q pendingJobRead, ev RowsAnswered) {
-	if ev.Fault != FaultNone {
-		e.recordStoreFault("read")
-		return
-	}
-	t := q.end.Attempt
-	o := q.w.orphanEnds[t]
-	for _, r := range ev.View.Rows {
-		if r.Version > 0 {
-			e.applyJobRow(r)
-		}
-	}
-	j := e.jobs[t.Task.Job]
-	if o == nil {
-		return
-	}
-	if j == nil || t.Task.N >= len(j.row.Tasks) {
-		o.over = true // the job has ended and its row is deleted
-		return
-	}
-	o.over = j.row.isOver(q.end)
-	if q.end.Kind == "" { // still running: reconcileRunning decides by the job's row
-		delete(q.w.orphanEnds, t)
-		e.dropForeignJob(j)
-		return
-	}
-	if !o.over && j.row.Tasks[t.Task.N].Attempt >= t.Number {
-		e.addEdit(j, endEdit{end: q.end, worker: q.w.id})
-	}
-	e.dropForeignJob(j)
-}
-
 // handleRowsAnswered hands rows that were read to the reader that waits for them.
 func (e *Entry) handleRowsAnswered(ev RowsAnswered) {
 	switch w := e.takePending(ev.Token).(type) {
-	case pendingJobRead:
-		e.handleJobRead(w, ev)
+	case pendingOrphans:
+		e.handleOrphansRead(w, ev)
 	case pendingCommand:
 		e.handleCommandRead(w.c, ev)
 	case pendingJobLookup:
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -9,26 +9,28 @@
 
 // Heartbeat is an agent's report of the state of its VM.
 type Heartbeat struct {
-	Worker        WorkerID
-	Inc           Incarnation
-	Run           Run
-	Addr          netip.AddrPort
-	DC            DC
-	Rack          Rack
-	Sent          time.Time // on the agent's clock
-	Capacity      Size
-	Committed     Size
-	Preemptible   Size // part of Committed that urgent tasks may preempt
-	Used          Size // measured; lags behind
-	Slots         int
-	Services      []ServiceLoad
-	ClassLoads    []ClassLoad // running batch tasks, by class
-	Running       []Attempt
-	Ends          []End
-	Config        uint64 // table version of the configuration in force at the agent
-	Leaving       bool
-	LeaseLapsed   bool     // the agent holds no valid lease to start tasks under
-	Unsettled     bool     // calls to the worker may take effect late
+	Worker      WorkerID
+	Inc         Incarnation
+	Run         Run
+	Addr        netip.AddrPort
+	DC          DC
+	Rack        Rack
+	Sent        time.Time // on the agent's clock
+	Capacity    Size
+	Committed   Size
+	Preemptible Size // part of Committed that urgent tasks may preempt
+	Used        Size // measured; lags behind
+	Slots       int
+	Services    []ServiceLoad
+	ClassLoads  []ClassLoad // running batch tasks, by class
+	Running     []Attempt
+	Ends        []End
+	Config      uint64 // table version of the configuration in force at the agent
+	Leaving     bool
+	LeaseLapsed bool // the agent holds no valid lease to start tasks under
+	Unsettled   bool // calls to the worker may take effect late
+	// Unheard lists the homes that have not answered the agent's heartbeats for some time.
+	Unheard       []netip.AddrPort
 	Isolated      JobID    // the job whose tasks run here apart from others; empty if there is none
 	Labels        []string // of the worker
 	TargetedTasks int      // number of tasks with a tail-latency target
--- a/homes/homes.go
+++ b/homes/homes.go
@@ -152,6 +152,12 @@
 	return pick(homes, worker, func(string) bool { return true })
 }
 
+// Backup returns the home that records ends of a shard's jobs if its owner does not; "" if
+// there is no other home.
+func Backup(homes []string, owner string, shard int) string {
+	return pick(homes, strconv.Itoa(shard), func(id string) bool { return id != owner })
+}
+
 // pick returns the open home with the highest hash of its id and the key.
 func pick(homes []string, key string, open func(string) bool) string {
 	var best string
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -36,7 +36,7 @@
 		TailLatencies: []core.ImageTailLatency{{Image: "i", Worst: 0.5, Utilization: 0.6, Tasks: 2}},
 		BestEffort:    []core.BestEffortLoad{{Image: "f", Millicores: 5}},
 		Labels:        []string{"l"}, TargetedTasks: 1, LongRunning: 3, Window: 4, Slowed: []core.Attempt{attempt}, Launching: []core.Attempt{attempt},
-		Config: 7, Leaving: true, LeaseLapsed: true, Unsettled: true, Isolated: "i", Dead: []core.Incarnation{"g"},
+		Config: 7, Leaving: true, LeaseLapsed: true, Unsettled: true, Unheard: []netip.AddrPort{addr}, Isolated: "i", Dead: []core.Incarnation{"g"},
 	}
 	assertAllFieldsSet(t, b)
 	got, err := HeartbeatFromWire(HeartbeatToWire(b))
