core: rest only after scans that were costly

A scan with up to four failed searches and 64 waiting tasks is cheap, and an idle entry with one waiting task must place it with the heartbeat that shows room (TestPendingCountOfClaimsThatNeverStart and three others failed).

placedWithin in longrun_test.go looked at the effects of the last heartbeat only, and so missed a placement made with an earlier one. It now looks for the next attempt's placement since the run has ended, as strictly.

--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -14,11 +14,13 @@
 	maxPlaceFailures = 48
 	// placeRetryInterval is how long a queue without room waits if nothing changes.
 	placeRetryInterval = 250 * time.Millisecond
-	// scanRest is the rest after a scan that left tasks waiting, and failureRest the one for
-	// each search that found no room. An entry with a long queue has time left to record ends
-	// and to send orders.
-	scanRest    = 50 * time.Millisecond
-	failureRest = time.Millisecond
+	// failureRest is the rest after a scan for each search beyond freeFailures that found no
+	// room, and waitingRest the one for each task that is left waiting beyond freeWaiting. An
+	// entry with a long queue has time left to record ends and to send orders.
+	failureRest  = 2 * time.Millisecond
+	freeFailures = 4
+	waitingRest  = 50 * time.Microsecond
+	freeWaiting  = 64
 )
 
 // scan is one walk through the queue, in which tasks are placed.
@@ -62,10 +64,15 @@
 	q.batch = e.placeAll(&s, q.batch)
 	q.blocked = s.failures+s.suspects > 0 && !s.cut
 	q.retryAt = e.at.Now.Add(placeRetryInterval)
-	q.restUntil = e.at.Now
-	if len(q.urgent)+len(q.batch) > 0 && !s.cut {
-		q.restUntil = e.at.Now.Add(scanRest + time.Duration(s.failures)*failureRest)
+	q.restUntil = e.at.Now.Add(s.rest(len(q.urgent) + len(q.batch)))
+}
+
+// rest returns the time without a scan after one that has left this number of tasks waiting.
+func (s *scan) rest(waiting int) time.Duration {
+	if s.cut {
+		return 0
 	}
+	return time.Duration(max(s.failures-freeFailures, 0))*failureRest + time.Duration(max(waiting-freeWaiting, 0))*waitingRest
 }
 
 // nextScan returns when all queued tasks are considered again.
--- a/core/longrun_test.go
+++ b/core/longrun_test.go
@@ -27,17 +27,19 @@
 	s.heartbeat(id)
 }
 
-// placedWithin returns the worker on which the next task is placed, and how long that took.
-func (s *workerHarness) placedWithin(d time.Duration) (core.WorkerID, time.Duration) {
-	began := s.now
-	for {
-		if ids := s.placed(); len(ids) > 0 {
-			return ids[0], s.now.Sub(began)
+// placedWithin returns the worker on which the attempt after the given one is placed, and how
+// long that took.
+func (s *workerHarness) placedWithin(d time.Duration, before core.Attempt) (core.WorkerID, time.Duration) {
+	next := core.Attempt{Task: before.Task, Number: before.Number + 1}
+	for began := s.now; ; s.heartbeatAll() {
+		for _, n := range s.notes("task placed") {
+			if n.Subject == next.String() {
+				return placedWorker(n), s.now.Sub(began)
+			}
 		}
 		if s.now.Sub(began) > d {
 			return "", d
 		}
-		s.heartbeatAll()
 	}
 }
 
@@ -59,7 +61,7 @@
 	got, attempt := s.place(longRunningStep)
 	assert.Equal(t, got, core.WorkerID("a"))
 	s.endRun("a", core.End{Attempt: attempt, Kind: core.EndFailed, Reason: "exit status 1", Started: true})
-	again, after := s.placedWithin(maxIdle)
+	again, after := s.placedWithin(maxIdle, attempt)
 	assert.Equal(t, again, core.WorkerID("a"), "not placed within %s", after)
 }
 
@@ -71,7 +73,7 @@
 	s.heartbeatAll()
 	first, attempt := s.place(longRunningStep)
 	s.endRun(first, core.End{Attempt: attempt, Kind: core.EndFailed, Reason: "exit status 1", Started: true})
-	again, after := s.placedWithin(time.Second)
+	again, after := s.placedWithin(time.Second, attempt)
 	assert.Assert(t, again != "" && again != first, "placed on %q after %s, failed on %s", again, after, first)
 }
 
@@ -100,7 +102,7 @@
 	s.endRun(first, core.End{
 		Attempt: attempt, Kind: core.EndCrashed, Started: true, Crash: crash.Evidence{Ran: time.Millisecond},
 	})
-	again, after := s.placedWithin(maxIdle)
+	again, after := s.placedWithin(maxIdle, attempt)
 	assert.Assert(t, again != "", "not placed within %s", after)
 	assert.Assert(t, after > time.Second, "placed beside others at once")
 }
