--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -49,6 +49,10 @@
 	}
 }
 
+// hasBeenRefused reports whether orders of a long-running task have not started it since its
+// last run.
+func (j *jobView) hasBeenRefused(n int) bool { return j.idle[n] != nil && j.idle[n].orders > 0 }
+
 // noteHandedBack records that a worker has handed a long-running task back which has waited
 // there for room. The room that is free by now is kept for it for a moment.
 func (j *jobView) noteHandedBack(end End, w WorkerID) {
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -146,6 +146,11 @@
 		return e.firstFit(need)
 	}
 	if len(j.row.Spec.Steps) > 0 {
+		if st.LongRunning && j.hasBeenRefused(q.task.N) {
+			if id, ok := e.pickOwn(need, seed); ok {
+				return WorkerID(id), true
+			}
+		}
 		id, ok := e.pickSeparated(need, st, e.isStuck(j, q), seed)
 		return WorkerID(id), ok
 	}
@@ -181,6 +186,9 @@
 	case st.Target > 0:
 		return e.pickLongRunning(need, st.Image, seed)
 	}
+	if id, ok := e.pickOwn(need, seed); ok {
+		return id, true
+	}
 	if id, ok := e.index.Pick(need, seed); ok {
 		return id, true
 	}
@@ -188,9 +196,25 @@
 	if id, ok := e.index.Pick(need, seed); ok {
 		return id, true
 	}
+	need.Own = true
+	if id, ok := e.index.PickPreempt(need, seed); ok {
+		return id, true
+	}
+	need.Own = false
 	return e.index.PickPreempt(need, seed)
 }
 
+// pickOwn chooses a worker that this home prefers: one that meets the need, or else any. All
+// homes see the same free capacity on the others, and place there at the same time.
+func (e *Entry) pickOwn(need place.Need, seed uint64) (string, bool) {
+	need.Own = true
+	if id, ok := e.index.Pick(need, seed); ok {
+		return id, true
+	}
+	need.Constraint, need.Spread = place.AnyWorker, true
+	return e.index.Pick(need, seed)
+}
+
 // candidates yields up to n workers that pick chooses for a need, each of them once.
 func candidates(pick func(place.Need, uint64) (string, bool), need place.Need, seed uint64, n int) iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/place/pick.go
+++ b/place/pick.go
@@ -18,6 +18,8 @@
 	Constraint Constraint
 	// Shared chooses among all workers alike, preferred or not.
 	Shared bool
+	// Own restricts the choice to preferred workers.
+	Own bool
 	// Owner names the job whose tasks Assign and Unassign count.
 	Owner string
 }
@@ -70,6 +72,9 @@
 // to preempt on are compared by how much has to be preempted, and best-effort tasks, which
 // reserve no processors, are spread over all.
 func (x *Index) pick(n *Need, seed uint64, v view) (id string, ok bool) {
+	if n.Own {
+		return x.pickAmong(n, seed, v, true)
+	}
 	if v == viewFree && !n.Shared {
 		if id, ok := x.pickAmong(n, seed, v, true); ok {
 			return id, true
