core: let several long-running tasks wait for room at a worker

One waited at a time, and the others were refused, though the worker has room for all once its short tasks complete. They now wait in the order in which they came, as long as all of them fit beside those that run.

--- a/core/agentroom.go
+++ b/core/agentroom.go
@@ -26,18 +26,15 @@
 }
 
 // mayAwaitRoom reports whether an order that does not fit may wait here, within its permit,
-// until short tasks complete. Only long-running tasks do, one at a time: entries that place
-// short tasks by views that are a moment old would take each bit of free capacity before
-// one that needs more of it. What stays free until then goes to no other order.
+// until short tasks complete. Only long-running tasks do: entries that place short tasks by
+// views that are a moment old would take each bit of free capacity before one that needs more
+// of it. What stays free until then goes to no other order.
 func (a *Agent) mayAwaitRoom(o Order) bool {
 	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated || a.keptFromOthers(o.Attempt.Task) != (Size{}) {
 		return false
 	}
 	rest := a.capacity.Minus(a.reservedByServices()).Minus(a.unmanaged)
 	for _, t := range a.held {
-		if t.awaitsRoom {
-			return false
-		}
 		if t.order.LongRunning {
 			rest = rest.Minus(t.size())
 		}
@@ -52,7 +49,7 @@
 		if !t.awaitsRoom || t.stopping != "" {
 			continue
 		}
-		room := a.capacity.Minus(a.committed()).Plus(t.size()).Plus(a.preemptible())
+		room := a.capacity.Minus(a.committed()).Plus(a.awaitedSince(t)).Plus(a.preemptible())
 		switch {
 		case !a.at.Now.Before(a.awaitEnd(t)):
 			a.stop(t, EndEvicted, "no room within its permit")
@@ -64,6 +61,17 @@
 	}
 }
 
+// awaitedSince returns the size of a task that awaits room, and of those that have come after
+// it: they take nothing before it does.
+func (a *Agent) awaitedSince(t *heldTask) (s Size) {
+	for _, u := range a.held {
+		if u.awaitsRoom && !u.admittedAt.Before(t.admittedAt) {
+			s = s.Plus(u.size())
+		}
+	}
+	return s
+}
+
 // awaitEnd returns when a task that awaits room is handed back.
 func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.permitEnd(t.order).Add(-awaitMargin) }
 
