core: report changes less often to entries that answer slowly

Agents told each home of each change within 0.1 s, also those that need only the free resources. A home that is behind got as many heartbeats as it could take, and no pause. The rest between two such reports is now four times the time that the entry took to answer. The entry that ordered the task is told at once, as before.

--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -115,6 +115,7 @@
 		return
 	}
 	p.answeredAt, a.answeredAt = a.at.Now, a.at.Now
+	p.answerTime = a.at.Now.Sub(p.sentAt)
 	ans := ev.Answer
 	a.applyConfig(ans)
 	a.keepPeers(ans.Entries)
--- a/core/agentpeer.go
+++ b/core/agentpeer.go
@@ -17,8 +17,9 @@
 	sentAt     time.Time // when the last one was sent
 	inFlight   bool
 	answeredAt time.Time
-	namedAt    time.Time // when an entry last named it as a home; zero if none has
-	since      time.Time // when it became a peer
+	answerTime time.Duration // of the last answered heartbeat
+	namedAt    time.Time     // when an entry last named it as a home; zero if none has
+	since      time.Time     // when it became a peer
 }
 
 const (
@@ -34,6 +35,9 @@
 	// reportInterval is the minimum time between two heartbeats to an entry that report
 	// changes of tasks which other entries have ordered.
 	reportInterval = 100 * time.Millisecond
+	// answerTimeRest is the rest between two such heartbeats, as a multiple of the time that
+	// the entry took to answer the last one: one that is behind is to catch up.
+	answerTimeRest = 4
 )
 
 // advanceHeartbeats sends a heartbeat to each entry that is due one.
@@ -80,7 +84,7 @@
 		return
 	}
 	for _, p := range a.peers {
-		due := latest(a.at.Now, p.sentAt.Add(reportInterval))
+		due := latest(a.at.Now, p.sentAt.Add(reportInterval+answerTimeRest*p.answerTime))
 		if p == owner {
 			due = a.at.Now
 		}
