core: renew the permit of a task that awaits room

The permit of an admitted task is now renewed with the lease: an echo says as much of the table as that of the order, and the agent knows if it was fenced or closed since. It waits for 2 s at most.

TestLateOrderAwaitsRoomAsLong failed before.

--- a/core/agentroom.go
+++ b/core/agentroom.go
@@ -6,6 +6,9 @@
 // a worker refuses a launch that reaches it later.
 const awaitMargin = 100 * time.Millisecond
 
+// awaitTimeout is how long an admitted task awaits room at most.
+const awaitTimeout = 2 * time.Second
+
 // keepTime is how long the room that a task has waited for is kept once it is handed back.
 // Its entry orders it anew within that time, with a new permit.
 const keepTime = 300 * time.Millisecond
@@ -25,10 +28,10 @@
 	return a.kept.size
 }
 
-// mayAwaitRoom reports whether an order that does not fit may wait here, within its permit,
-// until short tasks complete. Only long-running tasks do: entries that place short tasks by
-// views that are a moment old would take each bit of free capacity before one that needs more
-// of it. What stays free until then goes to no other order.
+// mayAwaitRoom reports whether an order that does not fit may wait here until short tasks
+// complete. Only long-running tasks do: entries that place short tasks by views that are a
+// moment old would take each bit of free capacity before one that needs more of it. What
+// stays free until then goes to no other order.
 func (a *Agent) mayAwaitRoom(o Order) bool {
 	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated || a.keptFromOthers(o.Attempt.Task) != (Size{}) {
 		return false
@@ -73,7 +76,18 @@
 }
 
 // awaitEnd returns when a task that awaits room is handed back.
-func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.permitEnd(t.order).Add(-awaitMargin) }
+func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.launchEnd(t).Add(-awaitMargin) }
+
+// launchEnd returns until when an admitted task may be launched. The permit of a long-running
+// one is renewed with the lease while it awaits room: an echo says as much of the table as the
+// one of its order, and the agent knows itself whether it was fenced or closed since.
+func (a *Agent) launchEnd(t *heldTask) time.Time {
+	end := a.permitEnd(t.order)
+	if !t.order.LongRunning || a.isClosed() || !a.pol.on(guardPermit) {
+		return end
+	}
+	return latest(end, earliest(a.echo.Add(a.pol.Permit), t.admittedAt.Add(awaitTimeout)))
+}
 
 // awaitedProcessors returns the processors that are reserved for a task that awaits room. It
 // does not run yet, so it takes none from best-effort tasks.
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -200,7 +200,7 @@
 		if t.launched || t.stopping != "" {
 			continue
 		}
-		if !a.permitEnd(t.order).After(a.at.Now) {
+		if !a.launchEnd(t).After(a.at.Now) {
 			a.stop(t, EndEvicted, "no room within its permit")
 			continue
 		}
@@ -208,7 +208,7 @@
 			continue
 		}
 		t.launched, t.launchedAt, t.epoch = true, a.at.Now, a.calls.current
-		t.deadline = earliest(a.leaseEnd(), a.permitEnd(t.order))
+		t.deadline = earliest(a.leaseEnd(), a.launchEnd(t))
 		a.grantedUntil = latest(a.grantedUntil, t.deadline)
 		a.emit(Launch{Order: t.order, Deadline: t.deadline, Epoch: t.epoch, Boot: a.boot})
 		if t.order.Isolated {
--- a/core/awaitroom_test.go
+++ b/core/awaitroom_test.go
@@ -106,3 +106,35 @@
 	s.run(600 * time.Millisecond)
 	assert.Assert(t, slices.Contains(s.launches, again))
 }
+
+// An order of a long-running task reaches its agent late, near the end of its permit: the task
+// must wait for room as long as one whose order came at once, unless the lease runs out.
+func TestLateOrderAwaitsRoomAsLong(t *testing.T) {
+	s := newAgentHarness()
+	short, _ := s.start("short", 1500, false)
+	long := core.Attempt{Task: core.TaskID{Job: "long"}, Number: 1}
+	s.reduce(core.StartAsked{Token: 1, Order: core.Order{
+		Attempt: long, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Urgent: true, LongRunning: true,
+		Echo: s.now.Add(200*time.Millisecond - core.DefaultPolicy().Permit), Size: core.Size{Millicores: 3500, MemoryMB: 1000},
+	}})
+	s.run(1200 * time.Millisecond)
+	s.end(short)
+	s.run(600 * time.Millisecond)
+	assert.Assert(t, slices.Contains(s.launches, long))
+}
+
+// Two long-running tasks fit beside each other once the short task there is done: both must
+// wait for it, and the first one must not wait for room for both.
+func TestSeveralTasksAwaitRoom(t *testing.T) {
+	s := newAgentHarness()
+	first, _ := s.start("short1", 1500, false)
+	s.start("short2", 1500, false)
+	one, reply := s.start("one", 1900, true)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	two, reply := s.start("two", 1900, true)
+	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	s.end(first)
+	s.run(600 * time.Millisecond)
+	assert.Assert(t, slices.Contains(s.launches, one))
+	assert.Assert(t, !slices.Contains(s.launches, two), "launched over the capacity")
+}
