--- a/core/awaitroom_test.go
+++ b/core/awaitroom_test.go
@@ -133,6 +133,7 @@
 	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
 	two, reply := s.start("two", 1900, true)
 	assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	s.run(500 * time.Millisecond)
 	s.end(first)
 	s.run(600 * time.Millisecond)
 	assert.Assert(t, slices.Contains(s.launches, one))
