--- a/core/review_test.go
+++ b/core/review_test.go
@@ -178,6 +178,7 @@
 	p.Permit, p.Lease, p.Drift, p.HeartbeatInterval = 2500*time.Millisecond, 6*time.Second, 400*time.Millisecond, time.Second
 	p.Silent, p.Suspect, p.EntryTimeout = 2500*time.Millisecond, 3500*time.Millisecond, 3*time.Second
 	p.ReadInterval, p.ShardReadInterval, p.SettleAfter = 500*time.Millisecond, 2*time.Second, 2*time.Second
+	p.TxnRows, p.TxnEntries, p.TxnKilobytes = 30, 100, 500
 	return p
 }
 
@@ -298,3 +299,40 @@
 		}
 	}
 }
+
+// One job of a transaction of 30 was changed by another entry. The ends of the other 29 must not
+// wait until all that came after them is written.
+func TestConflictDelaysOnlyTheJobThatConflicts(t *testing.T) {
+	p := core.DefaultPolicy()
+	p.WritesPerSecond, p.ReadsPerSecond, p.TxnRows = 1e6, 1e6, 30
+	b, hbs := site(t, 20, core.WithPolicy(p))
+	const jobs = 600
+	for i := range jobs {
+		h := &hbs[i%len(hbs)]
+		id := benchJobID(i)
+		h.Running = append(h.Running, core.Attempt{Task: core.TaskID{Job: id}, Number: 1})
+		b.submit(id, 0, core.StepSpec{Size: size(100)}, core.TaskRow{
+			State: core.TaskClaimed, Attempt: 1, Holder: core.Holder{Worker: h.Worker, Inc: h.Inc},
+		})
+	}
+	b.pass(3*time.Second, hbs)
+	b.delay = time.Second
+	for i := range hbs {
+		for _, a := range hbs[i].Running {
+			hbs[i].Ends = append(hbs[i].Ends, core.End{Attempt: a, Kind: core.EndDone, Started: true})
+		}
+		hbs[i].Running = nil
+	}
+	other := b.table.rows[keyOfJob(benchJobID(0))]
+	rec, err := core.Decode(keyOfJob(benchJobID(0)), other.Value)
+	assert.NilError(t, err)
+	b.table.put(t, keyOfJob(benchJobID(0)), rec)
+	second := keyOfJob(benchJobID(20)) // in the same transaction: it ends on the same worker
+	before, began := b.table.rows[second].Version, b.now
+	for b.table.rows[second].Version == before && b.now.Sub(began) < 60*time.Second {
+		b.pass(100*time.Millisecond, hbs)
+	}
+	waited := b.now.Sub(began)
+	t.Logf("written after %s", waited)
+	assert.Assert(t, waited <= 3*time.Second, "an end was written after %s by a table that answers in %s", waited, b.delay)
+}
