--- a/core/review_test.go
+++ b/core/review_test.go
@@ -16,7 +16,8 @@
 // placeBench is a bench that records which attempts are placed, in order.
 type placeBench struct {
 	*bench
-	placed []string
+	placed  []string
+	queries int // about attempts
 }
 
 // post delivers an event and all events that result from its effects.
@@ -39,6 +40,9 @@
 				} else {
 					evs = append(evs, ans)
 				}
+			case core.Settle:
+				b.queries++
+				evs = append(evs, core.SettleAnswered{Token: eff.Token, State: core.SettleRunning})
 			case core.Start:
 				evs = append(evs, core.StartAnswered{Token: eff.Token, Started: true})
 			}
@@ -336,3 +340,62 @@
 	t.Logf("written after %s", waited)
 	assert.Assert(t, waited <= 3*time.Second, "an end was written after %s by a table that answers in %s", waited, b.delay)
 }
+
+// A home that is behind hears each worker every 2.6 s only. It must not ask after every attempt
+// that runs there, one call each.
+func TestLateHeartbeatsCauseNoQueriesOfEachAttempt(t *testing.T) {
+	p := sitePolicy()
+	p.WritesPerSecond, p.ReadsPerSecond = 1e6, 1e6
+	b, hbs := site(t, 20, core.WithPolicy(p))
+	const tasks = 12
+	for i := range 20 * tasks {
+		h := &hbs[i%len(hbs)]
+		id := benchJobID(i)
+		h.Running = append(h.Running, core.Attempt{Task: core.TaskID{Job: id}, Number: 1})
+		b.submit(id, 0, core.StepSpec{Size: size(100)}, core.TaskRow{
+			State: core.TaskClaimed, Attempt: 1, Holder: core.Holder{Worker: h.Worker, Inc: h.Inc},
+		})
+	}
+	queries := func(every time.Duration) int {
+		b.pass(5*time.Second, hbs)
+		before := b.queries
+		for range int(20 * time.Second / every) {
+			for i := range hbs {
+				hbs[i].Sent = b.now
+				b.post(core.HeartbeatReceived{Token: 1, Heartbeat: hbs[i]})
+			}
+			for end := b.now.Add(every); b.now.Before(end); {
+				b.now = b.now.Add(100 * time.Millisecond)
+				b.post(core.Tick{})
+			}
+		}
+		return b.queries - before
+	}
+	onTime, late := queries(time.Second), queries(2600*time.Millisecond)
+	t.Logf("queries in 20 s about %d attempts on 20 workers: %d with a heartbeat each 1 s, %d with one each 2.6 s", 20*tasks, onTime, late)
+	assert.Assert(t, late <= 20*20, "%d queries in 20 s about 20 workers", late)
+}
+
+// Two long-running tasks that have awaited room at a worker are handed back in one moment. Both
+// must be let in again when they come back at once.
+func TestTasksHandedBackTogetherMayAwaitRoomAgain(t *testing.T) {
+	s := newAgentHarness()
+	s.start("short1", 1500, false)
+	s.start("short2", 1500, false)
+	for _, job := range []core.JobID{"one", "two"} {
+		_, reply := s.start(job, 1900, true)
+		assert.Assert(t, reply.Started, "refused: %s", reply.Reason)
+	}
+	for len(s.last.Ends) < 2 {
+		s.run(100 * time.Millisecond)
+	}
+	for _, job := range []core.JobID{"one", "two"} {
+		again := core.Attempt{Task: core.TaskID{Job: job}, Number: 2}
+		s.reduce(core.StartAsked{Token: 1, Order: core.Order{
+			Attempt: again, Holder: core.Holder{Worker: "w", Inc: s.last.Inc}, Echo: s.now, Urgent: true, LongRunning: true,
+			Size: core.Size{Millicores: 1900, MemoryMB: 1000},
+		}})
+		reply := s.replies[len(s.replies)-1]
+		assert.Check(t, reply.Started, "%s refused: %s", job, reply.Reason)
+	}
+}
