core: report a start to its entry no sooner than to others

An agent reported each confirmed start at once to the entry that had ordered it, which needs it only to throttle. With the ends these were most of the heartbeats of a busy entry. Ends are still reported at once. The rest between reports holds also while that entry does not answer.

--- a/core/agentcrash.go
+++ b/core/agentcrash.go
@@ -99,7 +99,7 @@
 		Attempt: t.order.Attempt, Kind: EndCrashed, Reason: "its worker crashed", Saved: t.saved, Crash: e, Started: t.started,
 	}
 	a.lateEnds[t.order.Attempt] = a.at.Now
-	a.reportChange(t.order.By)
+	a.reportEnd(t.order.By)
 }
 
 // atCrash returns the tasks that the worker may have run when it crashed.
--- a/core/agentpeer.go
+++ b/core/agentpeer.go
@@ -73,21 +73,20 @@
 	}
 }
 
-// reportChange expedites the report of a task's change: at once to the entry that ordered
-// the task, which waits for it, and within reportInterval to the others, which only see
-// other free resources. If that entry is no peer any more or does not answer, they
-// all get the report at once, since one of them has taken its place.
-func (a *Agent) reportChange(by netip.AddrPort) {
-	owner := a.peers[by]
-	if owner == nil || a.at.Now.Sub(owner.answeredAt) > heartbeatTimeout {
-		a.expediteHeartbeats()
-		return
+// reportEnd expedites the report of a task's end: at once to the entry that ordered the task,
+// which waits for it, and soon to the others, which only see other free resources.
+func (a *Agent) reportEnd(by netip.AddrPort) {
+	a.reportSoon()
+	if p := a.peers[by]; p != nil {
+		p.next = earliest(p.next, a.at.Now)
 	}
+}
+
+// reportSoon expedites the report of a change to each entry, once that has had time to handle
+// the last report.
+func (a *Agent) reportSoon() {
 	for _, p := range a.peers {
 		due := latest(a.at.Now, p.sentAt.Add(reportInterval+answerTimeRest*p.answerTime))
-		if p == owner {
-			due = a.at.Now
-		}
 		p.next = earliest(p.next, due)
 	}
 }
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -200,7 +200,7 @@
 		if t.launched || t.stopping != "" {
 			continue
 		}
-		if !a.launchEnd(t).After(a.at.Now) {
+		if !a.permitEnd(t.order).After(a.at.Now) {
 			a.stop(t, EndEvicted, "no room within its permit")
 			continue
 		}
@@ -208,7 +208,7 @@
 			continue
 		}
 		t.launched, t.launchedAt, t.epoch = true, a.at.Now, a.calls.current
-		t.deadline = earliest(a.leaseEnd(), a.launchEnd(t))
+		t.deadline = earliest(a.leaseEnd(), a.permitEnd(t.order))
 		a.grantedUntil = latest(a.grantedUntil, t.deadline)
 		a.emit(Launch{Order: t.order, Deadline: t.deadline, Epoch: t.epoch, Boot: a.boot})
 		if t.order.Isolated {
@@ -285,7 +285,7 @@
 			"filler", t.order.BestEffort, "target", t.order.Target.String(), "size", t.order.Size.Millicores,
 			"image", t.order.Class)
 		a.renewTask(t)
-		a.reportChange(t.order.By) // an entry may throttle it
+		a.reportSoon() // an entry may throttle it
 	case ev.Retryable:
 		a.count("launch", ReasonWorker)
 		a.recordEnd(t, End{Attempt: ev.Attempt, Kind: EndLost, Reason: "worker refused: " + ev.Reason})
@@ -398,7 +398,7 @@
 	}
 	e.Started = t.started
 	a.ends[e.Attempt] = e
-	a.reportChange(t.order.By)
+	a.reportEnd(t.order.By)
 }
 
 // since returns how long before now a time was, for logs; empty for a zero time.
