core: keep room for tasks that are handed back, and renew no permit

The permit is not renewed any more. Instead the room that a task has waited for is kept for 2.5 s once it is handed back, in which a busy entry orders it anew, and for each such task rather than the last one (TestTasksHandedBackTogetherMayAwaitRoomAgain failed before).

--- a/core/agent.go
+++ b/core/agent.go
@@ -33,7 +33,7 @@
 	unmanaged Size // size of tasks that run at the worker but are not held
 
 	held       map[TaskID]*heldTask
-	kept       keptRoom // see advanceAwaited
+	kept       map[TaskID]keptRoom // see advanceAwaited
 	ends       map[Attempt]End
 	lateEnds   map[Attempt]time.Time // when ends were replaced by what was learnt of them late
 	lost       []*heldTask           // ended since the worker did not answer; it may have crashed
@@ -96,6 +96,7 @@
 		usageRatios:   map[string]usageRatio{},
 		dead:          map[Incarnation]bool{},
 		peers:         map[netip.AddrPort]*entryPeer{},
+		kept:          map[TaskID]keptRoom{},
 		bestEffortMix: map[string]float64{},
 	}
 	for _, addr := range self.Entries {
--- a/core/agentroom.go
+++ b/core/agentroom.go
@@ -6,26 +6,34 @@
 // a worker refuses a launch that reaches it later.
 const awaitMargin = 100 * time.Millisecond
 
-// awaitTimeout is how long an admitted task awaits room at most.
-const awaitTimeout = 2 * time.Second
-
 // keepTime is how long the room that a task has waited for is kept once it is handed back.
-// Its entry orders it anew within that time, with a new permit.
-const keepTime = 300 * time.Millisecond
+// Its entry records that and orders it anew with a new permit, which takes a busy one seconds.
+const keepTime = 2500 * time.Millisecond
 
 // keptRoom is room that is kept for a task that was handed back.
 type keptRoom struct {
-	task  TaskID
 	size  Size
 	until time.Time
 }
 
-// keptFromOthers returns the size that is kept for a task other than the given one.
-func (a *Agent) keptFromOthers(t TaskID) Size {
-	if a.kept.task == t || a.held[a.kept.task] != nil || !a.at.Now.Before(a.kept.until) {
-		return Size{}
+// keepRoom keeps room for a task that is handed back.
+func (a *Agent) keepRoom(t *heldTask) {
+	for id, k := range a.kept {
+		if !a.at.Now.Before(k.until) {
+			delete(a.kept, id)
+		}
+	}
+	a.kept[t.order.Attempt.Task] = keptRoom{size: t.size(), until: a.at.Now.Add(keepTime)}
+}
+
+// keptFromOthers returns the size that is kept for tasks other than the given one.
+func (a *Agent) keptFromOthers(t TaskID) (s Size) {
+	for id, k := range a.kept {
+		if id != t && a.held[id] == nil && a.at.Now.Before(k.until) {
+			s = s.Plus(k.size)
+		}
 	}
-	return a.kept.size
+	return s
 }
 
 // mayAwaitRoom reports whether an order that does not fit may wait here until short tasks
@@ -33,10 +41,10 @@
 // moment old would take each bit of free capacity before one that needs more of it. What
 // stays free until then goes to no other order.
 func (a *Agent) mayAwaitRoom(o Order) bool {
-	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated || a.keptFromOthers(o.Attempt.Task) != (Size{}) {
+	if !o.LongRunning || !o.Urgent || o.BestEffort || o.Isolated {
 		return false
 	}
-	rest := a.capacity.Minus(a.reservedByServices()).Minus(a.unmanaged)
+	rest := a.capacity.Minus(a.reservedByServices()).Minus(a.unmanaged).Minus(a.keptFromOthers(o.Attempt.Task))
 	for _, t := range a.held {
 		if t.order.LongRunning {
 			rest = rest.Minus(t.size())
@@ -52,11 +60,11 @@
 		if !t.awaitsRoom || t.stopping != "" {
 			continue
 		}
-		room := a.capacity.Minus(a.committed()).Plus(a.awaitedSince(t)).Plus(a.preemptible())
+		room := a.capacity.Minus(a.committed()).Minus(a.keptFromOthers(t.order.Attempt.Task)).Plus(a.awaitedSince(t)).Plus(a.preemptible())
 		switch {
 		case !a.at.Now.Before(a.awaitEnd(t)):
 			a.stop(t, EndEvicted, "no room within its permit")
-			a.kept = keptRoom{task: t.order.Attempt.Task, size: t.size(), until: a.at.Now.Add(keepTime)}
+			a.keepRoom(t)
 		case t.size().Fits(room):
 			t.awaitsRoom = false
 			a.makeRoom()
@@ -76,18 +84,7 @@
 }
 
 // awaitEnd returns when a task that awaits room is handed back.
-func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.launchEnd(t).Add(-awaitMargin) }
-
-// launchEnd returns until when an admitted task may be launched. The permit of a long-running
-// one is renewed with the lease while it awaits room: an echo says as much of the table as the
-// one of its order, and the agent knows itself whether it was fenced or closed since.
-func (a *Agent) launchEnd(t *heldTask) time.Time {
-	end := a.permitEnd(t.order)
-	if !t.order.LongRunning || a.isClosed() || !a.pol.on(guardPermit) {
-		return end
-	}
-	return latest(end, earliest(a.echo.Add(a.pol.Permit), t.admittedAt.Add(awaitTimeout)))
-}
+func (a *Agent) awaitEnd(t *heldTask) time.Time { return a.permitEnd(t.order).Add(-awaitMargin) }
 
 // awaitedProcessors returns the processors that are reserved for a task that awaits room. It
 // does not run yet, so it takes none from best-effort tasks.
