core: write long-running tasks and jobs of a conflict first

A transaction that conflicted sent all of its 30 jobs behind all others, though the conflicting rows had come back with the answer: an end that did not conflict was written after 20 s with 600 jobs and a table of 1 s. They now go first.

--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -13,10 +13,38 @@
 // flight at a time, and the longer the table takes to answer, the more edits share the
 // next one.
 type commitGroup struct {
+	first    []*jobView // written before dirty: of long-running tasks, and of a conflict
 	dirty    []*jobView
 	inFlight *groupTxn
 }
 
+// len returns the number of jobs with edits that are not sent yet.
+func (g *commitGroup) len() int { return len(g.first) + len(g.dirty) }
+
+// add lists a job with edits.
+func (g *commitGroup) add(j *jobView) {
+	j.dirty = true
+	if j.row.Spec.hasLongRunning() {
+		g.first = append(g.first, j)
+		return
+	}
+	g.dirty = append(g.dirty, j)
+}
+
+// putFirst lists jobs with edits before all others.
+func (g *commitGroup) putFirst(jobs []*jobView) {
+	listed := func(j *jobView) bool { return slices.Contains(jobs, j) }
+	rest := slices.DeleteFunc(g.first, listed)
+	g.dirty = slices.DeleteFunc(g.dirty, listed)
+	g.first = nil
+	for _, j := range jobs {
+		if j.dirty = len(j.edits) > 0; j.dirty {
+			g.first = append(g.first, j)
+		}
+	}
+	g.first = append(g.first, rest...)
+}
+
 // groupTxn is a transaction of the commit group. After a lost answer it is resent
 // unchanged: its conditions make that harmless, and the edits detect that the first
 // copy has taken effect.
@@ -35,7 +63,7 @@
 
 func (pendingGroup) pendingAnswer() {}
 
-func (g *commitGroup) isIdle() bool { return len(g.dirty) == 0 && g.inFlight == nil }
+func (g *commitGroup) isIdle() bool { return g.len() == 0 && g.inFlight == nil }
 
 // addEdit adds an edit of a job to the next transaction. A repeated edit is dropped.
 func (e *Entry) addEdit(j *jobView, ed edit) {
@@ -70,8 +98,7 @@
 	if j.dirty || len(j.edits) == 0 {
 		return
 	}
-	j.dirty = true
-	e.group.dirty = append(e.group.dirty, j)
+	e.group.add(j)
 }
 
 // flushAt returns when the next transaction may be sent; zero if there is none to send.
@@ -79,7 +106,7 @@
 	switch t := e.group.inFlight; {
 	case t != nil && !t.retryAt.IsZero():
 		return t.retryAt
-	case t != nil || len(e.group.dirty) == 0:
+	case t != nil || e.group.len() == 0:
 		return time.Time{}
 	}
 	return e.writes.NextAllowed(e.at.Now, limit.PriorityHigh)
@@ -95,7 +122,7 @@
 		}
 		return
 	}
-	if len(e.group.dirty) == 0 || e.breaker.IsOpen(e.at.Now) || !e.allowWrite(limit.PriorityHigh) {
+	if e.group.len() == 0 || e.breaker.IsOpen(e.at.Now) || !e.allowWrite(limit.PriorityHigh) {
 		return
 	}
 	t := e.buildTxn()
@@ -130,17 +157,8 @@
 func (e *Entry) buildTxn() *groupTxn {
 	t := &groupTxn{}
 	conds := map[string]uint64{}
-	dirty := e.group.dirty
-	e.group.dirty = nil
-	for i, j := range dirty {
-		if t.isFull(&e.pol, len(conds)) {
-			e.group.dirty = append(e.group.dirty, dirty[i:]...)
-			break
-		}
-		j.dirty = false
-		e.addJob(t, j, conds)
-		e.markDirty(j) // some of its edits may be left for the next transaction
-	}
+	e.addJobs(t, &e.group.first, conds)
+	e.addJobs(t, &e.group.dirty, conds)
 	if len(t.jobs) == 0 {
 		return nil
 	}
@@ -151,6 +169,21 @@
 	return t
 }
 
+// addJobs adds jobs of a list to a transaction until it is full, and takes them off the list.
+func (e *Entry) addJobs(t *groupTxn, list *[]*jobView, conds map[string]uint64) {
+	jobs := *list
+	*list = nil
+	for i, j := range jobs {
+		if t.isFull(&e.pol, len(conds)) {
+			*list = append(*list, jobs[i:]...)
+			return
+		}
+		j.dirty = false
+		e.addJob(t, j, conds)
+		e.markDirty(j) // some of its edits may be left for the next transaction
+	}
+}
+
 // addJob adds a job's row and its conditions to a transaction. Edits that exceed the
 // transaction's limit of clauses are left for the next one.
 func (e *Entry) addJob(t *groupTxn, j *jobView, conds map[string]uint64) {
@@ -293,8 +326,8 @@
 	for _, j := range t.jobs {
 		j.edits = append(j.inFlight, j.edits...)
 		j.inFlight = nil
-		e.markDirty(j)
 	}
+	e.group.putFirst(t.jobs)
 	for _, r := range rows {
 		e.applyConflictRow(r)
 	}
@@ -351,6 +384,7 @@
 			e.noteRun(j, ed.task())
 		}
 		j.noteHandedBack(ed.end, ed.worker)
+		e.noteOrphanStored(ed)
 		e.advanceStep(j, ed)
 	}
 	e.reconcileEdit(j, ed)
--- a/core/entryload.go
+++ b/core/entryload.go
@@ -19,6 +19,7 @@
 	placed      int // tasks for which one was found
 	refused     int // orders that did not start their task
 	conflicts   int // group transactions that conflicted with another entry's write
+	settles     int // queries about attempts that an agent has not listed
 	orphanReads int // reads of rows of jobs that another entry should schedule
 }
 
@@ -27,6 +28,7 @@
 	return loadCounts{
 		heartbeats: c.heartbeats - o.heartbeats, tried: c.tried - o.tried, placed: c.placed - o.placed,
 		refused: c.refused - o.refused, conflicts: c.conflicts - o.conflicts, orphanReads: c.orphanReads - o.orphanReads,
+		settles: c.settles - o.settles,
 	}
 }
 
@@ -43,7 +45,7 @@
 	if waiting == 0 && n == (loadCounts{heartbeats: n.heartbeats}) {
 		return
 	}
-	e.logEvent("load", string(e.self.ID), "waiting", waiting, "unwritten", len(e.group.dirty), "heartbeats", n.heartbeats,
-		"tried", n.tried, "placed", n.placed, "refused", n.refused, "conflicts", n.conflicts, "orphans", n.orphanReads,
+	e.logEvent("load", string(e.self.ID), "waiting", waiting, "unwritten", e.group.len(), "heartbeats", n.heartbeats,
+		"tried", n.tried, "placed", n.placed, "refused", n.refused, "conflicts", n.conflicts, "orphans", n.orphanReads, "settles", n.settles,
 		"read", e.at.Now.Sub(e.round.asOf).String())
 }
