core: place long-running tasks first, apart from others

Long-running tasks have a list of their own, scanned first, longest without a run first, and also while many edits are not written yet: 48 steps of short tasks without room ended the scan before them, or one step of many long-running ones held up all others. New tasks are sorted, and wait if one that needs no more found no room in the last scan, so that they overtake nobody. A suspect is not skipped for others' failures. The rest after a scan has an upper bound.

--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -11,30 +11,63 @@
 // rankInterval is the longest time between two updates of the ranks.
 const rankInterval = 250 * time.Millisecond
 
-// taskQueue holds the tasks that wait for a worker. Those that may preempt are kept
-// apart from batch tasks and placed first.
+// taskQueue holds the tasks that wait for a worker.
 type taskQueue struct {
-	urgent, batch []queuedTask
-	// newUrgent and newBatch came since the last scan.
-	newUrgent, newBatch []queuedTask
+	waiting taskLists
+	added   taskLists // since the last scan
 
 	has       map[TaskID]bool // tasks that have not been removed
 	unsorted  bool
-	sortedAt  time.Time // when the ranks were last updated
-	added     uint64    // number of tasks ever added
-	blocked   bool      // no room was found, and nothing has changed since
-	retryAt   time.Time // when placement is tried again while blocked
-	restUntil time.Time // no scan begins before
+	sortedAt  time.Time        // when the ranks were last updated
+	number    uint64           // of tasks ever added
+	blocked   bool             // no room was found, and nothing has changed since
+	retryAt   time.Time        // when placement is tried again while blocked
+	restUntil time.Time        // no scan begins before
+	failed    map[shape][]Size // that found no room in the last scan
+}
+
+// taskLists are tasks in the order in which they are placed: long-running ones first, which
+// must not wait behind others, then the other ones that may preempt, then batch tasks.
+type taskLists struct {
+	longRunning, urgent, batch []queuedTask
+}
+
+// all returns the lists in their order.
+func (l *taskLists) all() []*[]queuedTask {
+	return []*[]queuedTask{&l.longRunning, &l.urgent, &l.batch}
+}
+
+// len returns the number of tasks in all lists.
+func (l *taskLists) len() int { return len(l.longRunning) + len(l.urgent) + len(l.batch) }
+
+// listOf returns the list that a task belongs to.
+func (l *taskLists) listOf(w queuedTask) *[]queuedTask {
+	switch {
+	case w.longRunning:
+		return &l.longRunning
+	case w.mayPreempt:
+		return &l.urgent
+	}
+	return &l.batch
+}
+
+// take moves the tasks of other lists here.
+func (l *taskLists) take(o *taskLists) {
+	for i, ts := range l.all() {
+		*ts = append(*ts, *o.all()[i]...)
+	}
+	*o = taskLists{}
 }
 
 // queuedTask is a task that waits for a worker, with its place in the order.
 type queuedTask struct {
-	task       TaskID
-	mayPreempt bool
-	rank       order.Rank
-	number     uint64    // order of arrival
-	since      time.Time // when it was queued
-	idleSince  time.Time // of a long-running task: since when it has not run
+	task        TaskID
+	mayPreempt  bool
+	longRunning bool
+	rank        order.Rank
+	number      uint64    // order of arrival
+	since       time.Time // when it was queued
+	idleSince   time.Time // of a long-running task: since when it has not run
 }
 
 // newQueuedTask returns the queue entry of a job's task.
@@ -45,7 +78,7 @@
 		since: e.at.Now, idleSince: e.at.Now, task: TaskID{Job: spec.ID, N: n}, mayPreempt: spec.mayPreempt(st), rank: e.rankOf(j),
 	}
 	if st.LongRunning {
-		q.idleSince = j.idleSince(n, e.at.Now)
+		q.longRunning, q.idleSince = true, j.idleSince(n, e.at.Now)
 	}
 	return q
 }
@@ -75,23 +108,16 @@
 		q.has = map[TaskID]bool{}
 	}
 	q.has[w.task] = true
-	q.added++
-	w.number = q.added
-	if w.mayPreempt {
-		q.newUrgent = append(q.newUrgent, w)
-	} else {
-		q.newBatch = append(q.newBatch, w)
-	}
+	q.number++
+	w.number = q.number
+	list := q.added.listOf(w)
+	*list = append(*list, w)
 }
 
-// mergeNew moves the tasks that came since the last scan to the others.
-func (q *taskQueue) mergeNew() {
-	if len(q.newUrgent)+len(q.newBatch) == 0 {
-		return
-	}
-	q.urgent, q.batch = append(q.urgent, q.newUrgent...), append(q.batch, q.newBatch...)
-	q.newUrgent, q.newBatch = nil, nil
-	q.unsorted = true
+// mergeAdded moves the tasks that came since the last scan to the others.
+func (q *taskQueue) mergeAdded() {
+	q.unsorted = q.unsorted || q.added.len() > 0
+	q.waiting.take(&q.added)
 }
 
 // remove takes a task out. Its place in the order is dropped when the task is next
@@ -106,8 +132,15 @@
 		return
 	}
 	q.unsorted, q.sortedAt = false, e.at.Now
+	e.sortTasks(&q.waiting)
+}
+
+// sortTasks sorts tasks by the ranks of their jobs, and long-running ones by how long they
+// have not run.
+func (e *Entry) sortTasks(l *taskLists) {
+	slices.SortStableFunc(l.longRunning, queuedTask.compareIdle)
 	ranks := map[JobID]order.Rank{}
-	for _, ws := range [][]queuedTask{q.urgent, q.batch} {
+	for _, ws := range [][]queuedTask{l.urgent, l.batch} {
 		for i := range ws {
 			id := ws[i].task.Job
 			j := e.jobs[id]
@@ -123,6 +156,11 @@
 	}
 }
 
+// compareIdle orders tasks by how long they have not run, longest first.
+func (w queuedTask) compareIdle(o queuedTask) int {
+	return cmp.Or(w.idleSince.Compare(o.idleSince), cmp.Compare(w.number, o.number))
+}
+
 // compare orders tasks by rank, then by arrival.
 func (w queuedTask) compare(o queuedTask) int {
 	return cmp.Or(w.rank.Compare(o.rank), cmp.Compare(w.number, o.number))
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -9,8 +9,8 @@
 const (
 	// maxPlacements bounds the placements of one scan.
 	maxPlacements = 256
-	// maxPlaceFailures bounds the searches for a worker in one scan that find no room,
-	// those for long-running tasks apart from the others.
+	// maxPlaceFailures bounds the searches for a worker in one scan of a list that find no
+	// room.
 	maxPlaceFailures = 48
 	// placeRetryInterval is how long a queue without room waits if nothing changes.
 	placeRetryInterval = 250 * time.Millisecond
@@ -26,12 +26,19 @@
 // scan is one walk through the queue, in which tasks are placed.
 type scan struct {
 	placed   int
-	failures int // searches that found no room
-	awaited  int // those of them for long-running tasks
-	suspects int // tasks that wait for a worker of their own
-	cut      bool
-	steps    map[stepID]bool // steps with a task that found no room
-	shapes   map[shape][]Size
+	failures int              // searches that found no room, in this list
+	searches int              // those of all lists
+	suspects int              // tasks that wait for a worker of their own
+	cut      bool             // tasks are left that were not considered
+	steps    map[stepKey]bool // steps with a task that found no room
+	shapes   map[shape][]Size // needs that found no room
+}
+
+// stepKey names the tasks of a step that find no room alike. Those that are overdue may also
+// run where they have failed.
+type stepKey struct {
+	stepID
+	overdue bool
 }
 
 // shape is what the search for a worker depends on besides the size: a task that needs as
@@ -46,33 +53,35 @@
 	overdue     bool
 }
 
-// schedule places queued tasks, urgent ones first: all of them if the last scan lies back long
-// enough, and otherwise those that came since.
+// schedule places queued tasks: all of them if the last scan lies back long enough, and
+// otherwise those that came since. If many edits are not written yet, it places long-running
+// tasks only.
 func (e *Entry) schedule() {
-	if e.leaving || !e.hasConfig() || e.breaker.IsOpen(e.at.Now) || len(e.group.dirty) > 2*e.pol.TxnRows {
+	if e.leaving || !e.hasConfig() || e.breaker.IsOpen(e.at.Now) {
 		return
 	}
 	q := &e.queue
 	if e.at.Now.Before(q.nextScan()) {
-		e.placeNew()
+		e.placeAdded()
 		return
 	}
-	q.mergeNew()
+	q.mergeAdded()
 	e.sortQueue()
-	s := newScan()
-	q.urgent = e.placeAll(&s, q.urgent)
-	q.batch = e.placeAll(&s, q.batch)
-	q.blocked = s.failures+s.suspects > 0 && !s.cut
+	s := newScan(nil)
+	e.placeLists(&s, &q.waiting)
+	q.blocked = s.searches+s.suspects > 0 && !s.cut
 	q.retryAt = e.at.Now.Add(placeRetryInterval)
-	q.restUntil = e.at.Now.Add(s.rest(len(q.urgent) + len(q.batch)))
+	q.restUntil = e.at.Now.Add(s.rest(q.waiting.len()))
+	q.failed = s.shapes
 }
 
 // rest returns the time without a scan after one that has left this number of tasks waiting.
 func (s *scan) rest(waiting int) time.Duration {
-	if s.cut {
-		return 0
+	rest := time.Duration(max(s.searches-freeFailures, 0)) * failureRest
+	if !s.cut {
+		rest += time.Duration(max(waiting-freeWaiting, 0)) * waitingRest
 	}
-	return time.Duration(max(s.failures-freeFailures, 0))*failureRest + time.Duration(max(waiting-freeWaiting, 0))*waitingRest
+	return min(rest, placeRetryInterval)
 }
 
 // nextScan returns when all queued tasks are considered again.
@@ -83,32 +92,52 @@
 	return q.restUntil
 }
 
-// placeNew places the tasks that came since the last scan. Those that find no room wait with
-// the others.
-func (e *Entry) placeNew() {
+// placeAdded places the tasks that came since the last scan, unless they need as much as one
+// that waits already. Those that find no room wait with the others.
+func (e *Entry) placeAdded() {
 	q := &e.queue
-	if len(q.newUrgent)+len(q.newBatch) == 0 {
+	if q.added.len() == 0 {
 		return
 	}
-	s := newScan()
-	urgent := e.placeAll(&s, q.newUrgent)
-	batch := e.placeAll(&s, q.newBatch)
-	q.newUrgent, q.newBatch = nil, nil
-	q.urgent = append(q.urgent, urgent...)
-	q.batch = append(q.batch, batch...)
-	q.unsorted = q.unsorted || len(urgent)+len(batch) > 0
+	added := q.added
+	q.added = taskLists{}
+	e.sortTasks(&added)
+	s := newScan(q.failed)
+	e.placeLists(&s, &added)
+	q.unsorted = q.unsorted || added.len() > 0
+	q.waiting.take(&added)
 	if s.cut {
 		q.blocked = false
 	}
 }
 
-func newScan() scan { return scan{steps: map[stepID]bool{}, shapes: map[shape][]Size{}} }
+// newScan returns a scan in which tasks of some needs are known to find no room.
+func newScan(failed map[shape][]Size) scan {
+	s := scan{steps: map[stepKey]bool{}, shapes: map[shape][]Size{}}
+	for sh, sizes := range failed {
+		s.shapes[sh] = slices.Clone(sizes)
+	}
+	return s
+}
+
+// placeLists places tasks and leaves those in the lists that found no room.
+func (e *Entry) placeLists(s *scan, l *taskLists) {
+	l.longRunning = e.placeAll(s, l.longRunning)
+	if e.group.len() > 2*e.pol.TxnRows {
+		s.cut = s.cut || len(l.urgent)+len(l.batch) > 0
+		return
+	}
+	l.urgent = e.placeAll(s, l.urgent)
+	l.batch = e.placeAll(s, l.batch)
+}
 
-// placeAll places the tasks of one queue in order and returns those that remain.
+// placeAll places the tasks of one list in order and returns those that remain.
 func (e *Entry) placeAll(s *scan, ts []queuedTask) []queuedTask {
 	var left []queuedTask
+	s.failures = 0
 	for i, w := range ts {
-		if s.isOver() {
+		s.cut = s.cut || s.placed >= maxPlacements
+		if s.cut || s.failures >= maxPlaceFailures {
 			left = append(left, ts[i:]...)
 			break
 		}
@@ -119,26 +148,22 @@
 	return left
 }
 
-// isOver reports whether no further task is considered.
-func (s *scan) isOver() bool {
-	s.cut = s.cut || s.placed >= maxPlacements
-	return s.cut || s.failures-s.awaited >= maxPlaceFailures
-}
-
 // place places one task and reports whether it leaves the queue.
 func (e *Entry) place(s *scan, w queuedTask) bool {
 	j := e.jobs[w.task.Job]
-	step := e.stepOf(w.task)
+	if j == nil {
+		e.queue.remove(w.task)
+		return true
+	}
+	n := w.task.N
+	step := stepKey{e.stepOf(w.task), e.isOverdue(j, w)}
 	if s.steps[step] {
 		return false
 	}
 	sh, general := e.shapeOf(j, w)
-	if j != nil && s.hasFailed(sh, j.row.Spec.Step(w.task.N).Size) {
-		e.recordNoRoom(j, w.task.N)
-		s.steps[step] = general && !sh.longRunning
-		return false
-	}
-	if sh.longRunning && s.awaited >= maxPlaceFailures {
+	if !j.isSuspect(n) && s.hasFailed(sh, j.row.Spec.Step(n).Size) {
+		e.recordNoRoom(j, n)
+		s.steps[step] = general
 		return false
 	}
 	if e.placeTask(w) {
@@ -146,26 +171,17 @@
 		e.queue.remove(w.task)
 		return true
 	}
-	s.noteFailure(e.jobs[w.task.Job], w.task.N, step, sh, general)
-	return false
-}
-
-// noteFailure records a search that found no room, and what it says about other tasks.
-func (s *scan) noteFailure(j *jobView, n int, step stepID, sh shape, general bool) {
-	reason := j.waitReasons[n]
-	if reason == ReasonIsolated {
+	if j.waitReasons[n] == ReasonIsolated {
 		s.suspects++ // it holds up neither its step nor the rest of the queue
-		return
+		return false
 	}
 	s.failures++
-	if sh.longRunning {
-		s.awaited++
-	} else {
-		s.steps[step] = len(j.row.Spec.Steps) > 0
-	}
-	if general && reason == ReasonRoom {
+	s.searches++
+	s.steps[step] = len(j.row.Spec.Steps) > 0 && (!w.longRunning || len(j.row.Tasks[n].FailedOn) == 0)
+	if general && j.waitReasons[n] == ReasonRoom {
 		s.shapes[sh] = append(s.shapes[sh], j.row.Spec.Step(n).Size)
 	}
+	return false
 }
 
 // hasFailed reports whether a task of the shape that needs no more than the size has found no
