core: query no attempt that the newest heartbeat lists

A claim was queried by the age of its last report. An entry whose heartbeats came each 2.6 s queried each running attempt after each one: 84 queries a second for 240 attempts, none with heartbeats each 1 s (TestLateHeartbeatsCauseNoQueriesOfEachAttempt failed before).

--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -116,10 +116,14 @@
 		e.orderStop(w, c, EndCancelled, "job cancelled")
 	}
 	e.evictStraggler(w, j, c)
+	if c.reported && !c.reportedAt.Before(w.heartbeatAt) {
+		return // the newest heartbeat lists it, however late the next one is
+	}
 	unreportedFor := e.at.Now.Sub(latest(c.since, c.reportedAt))
 	if c.callInFlight || unreportedFor < e.pol.SettleAfter {
 		return
 	}
+	e.load.settles++
 	c.callInFlight = true
 	e.emit(Settle{Token: e.expect(pendingSettle{c}), Addr: w.heartbeat.Addr, Attempt: c.attempt, Inc: w.inc})
 }
