core: tell an agent at once that another home recorded an end

The agent learnt it from a second read 3 s later, and sent the end with each heartbeat until then. The wait of an end is looked up only after 3 s.

--- a/core/entryorphan.go
+++ b/core/entryorphan.go
@@ -73,7 +73,8 @@
 	case o.over:
 		delete(w.orphanEnds, t)
 		return true
-	case !o.queued && !e.at.Now.Before(latest(o.nextRead, o.since.Add(e.orphanWait(w, ShardOf(t.Task.Job))))):
+	case o.queued || e.at.Now.Before(latest(o.nextRead, o.since.Add(orphanTimeout))):
+	case !e.at.Now.Before(o.since.Add(e.orphanWait(w, ShardOf(t.Task.Job)))):
 		o.queued = true
 		e.orphans.due = append(e.orphans.due, orphan{w: w, end: end})
 	}
@@ -98,6 +99,13 @@
 	return wait
 }
 
+// noteOrphanStored lets the agent know with the next answer that an end is recorded.
+func (e *Entry) noteOrphanStored(ed endEdit) {
+	if w := e.workers[ed.worker]; w != nil && w.orphanEnds[ed.end.Attempt] != nil {
+		w.orphanEnds[ed.end.Attempt].over = true
+	}
+}
+
 // pendingOrphans awaits the rows of other entries' jobs, to record ends in them.
 type pendingOrphans struct{ orphans []orphan }
 
