core: log no cancelled task as idle

A long-running task that was cancelled while it waited kept its record in jobView.idle, so the entry logged "task idle" about it each 2 s until the job's row was dropped from memory. The log now leaves out tasks that have ended and those of a cancelled job.

--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -132,7 +132,7 @@
 	var ids []TaskID
 	for id, j := range e.jobs {
 		for n := range j.idle {
-			if !j.foreign {
+			if j.isIdle(n) {
 				ids = append(ids, TaskID{Job: id, N: n})
 			}
 		}
@@ -141,6 +141,15 @@
 	return ids
 }
 
+// isIdle reports whether a long-running task that this entry schedules is to run and has no
+// run. One that has ended, or whose job is cancelled, is not to run.
+func (j *jobView) isIdle(n int) bool {
+	if j.idle[n] == nil || j.foreign || j.row.Cancel || n >= len(j.row.Tasks) {
+		return false
+	}
+	return !j.row.Tasks[n].State.Final()
+}
+
 // logIdle logs since when a task has not run, and what it waits for.
 func (e *Entry) logIdle(j *jobView, n int, t *idleTask) {
 	t.loggedAt = e.at.Now
