core: show the long-running tasks without a run

On-call could see which long-running task waits, and why, only by searching the logs of all homes for "task idle". `show idle` lists those that the asked entry schedules, with the words of the log line: both come from explainIdle now. The text of the answer says how many of the shards the entry schedules and has not read yet, and that the other homes know of the rest. Rows are in the usual order, by task.

--- a/core/command.go
+++ b/core/command.go
@@ -52,7 +52,7 @@
 	If  VersionCond
 }
 
-// Show lists rows of one kind: workers, tasks, jobs, services, dcs, teams,
+// Show lists rows of one kind: workers, tasks, jobs, idle, services, dcs, teams,
 // policy or entries.
 type Show struct {
 	Kind  string
--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -122,7 +122,8 @@
 	for _, id := range e.idleTasks() {
 		j := e.jobs[id.Job]
 		if t := j.idle[id.N]; e.at.Now.Sub(latest(t.since, t.loggedAt)) >= idleLogAfter {
-			e.logIdle(j, id.N, t)
+			t.loggedAt = e.at.Now
+			e.logIdle(id, e.explainIdle(j, id.N))
 		}
 	}
 }
@@ -150,15 +151,32 @@
 	return !j.row.Tasks[n].State.Final()
 }
 
-// logIdle logs since when a task has not run, and what it waits for.
-func (e *Entry) logIdle(j *jobView, n int, t *idleTask) {
-	t.loggedAt = e.at.Now
+// idleReasons is why a long-running task does not run, for logs and operators.
+type idleReasons struct {
+	idle    time.Duration // since its last run ended, as far as this entry knows
+	stage   string
+	worker  WorkerID // where it is to run; empty while queued
+	reason  Reason   // that it waits for; empty unless it is queued
+	orders  int      // that have not started it
+	refusal Reason   // of the last of them
+}
+
+// explainIdle returns why a long-running task that has no run does not run.
+func (e *Entry) explainIdle(j *jobView, n int) idleReasons {
+	t := j.idle[n]
 	stage, w := j.idleStage(n)
-	e.logEvent("task idle", TaskID{Job: j.row.Spec.ID, N: n}.String(), "since", e.at.Now.Sub(t.since).String(),
-		"stage", stage, "reason", string(j.waitReasons[n]), "worker", string(w), "orders", t.orders, "refusal", string(t.refusal))
+	return idleReasons{
+		idle: e.at.Now.Sub(t.since), stage: stage, worker: w, reason: j.waitReasons[n], orders: t.orders, refusal: t.refusal,
+	}
+}
+
+// logIdle logs since when a task has not run, and what it waits for.
+func (e *Entry) logIdle(id TaskID, r idleReasons) {
+	e.logEvent("task idle", id.String(), "since", r.idle.String(),
+		"stage", r.stage, "reason", string(r.reason), "worker", string(r.worker), "orders", r.orders, "refusal", string(r.refusal))
 }
 
-// Stages of a long-running task without a run, for logs.
+// Stages of a long-running task without a run, for logs and operators.
 const (
 	idleQueued    = "queued"    // no worker has been chosen
 	idleUnwritten = "unwritten" // the claim is not in the table yet
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -30,11 +30,42 @@
 	}
 	res := e.filter(cmd, cols, rows)
 	if res.Outcome == CommandDone {
-		res.Text = e.viewCaveat()
+		res.Text = e.caveat(cmd.Kind)
 	}
 	e.replyCommand(t, res)
 }
 
+// caveat returns what the list of a kind may lack; empty if nothing.
+func (e *Entry) caveat(kind string) string {
+	text := e.viewCaveat()
+	if kind != "idle" {
+		return text
+	}
+	if text == "" {
+		return e.shardCaveat()
+	}
+	return e.shardCaveat() + "; " + text
+}
+
+// shardCaveat returns of how many shards this entry knows the tasks, so that nobody takes its
+// list for one of the whole site.
+func (e *Entry) shardCaveat() string {
+	owned, unread := e.ownedShards(), 0
+	for s := range e.shards {
+		if sh := &e.shards[s]; sh.owned && !sh.loaded {
+			unread++
+		}
+	}
+	text := fmt.Sprintf("this entry schedules %d of %d shards", owned, Shards)
+	if unread > 0 {
+		text += fmt.Sprintf(", of which it has not read %d yet", unread)
+	}
+	if owned < Shards {
+		text += "; the other homes know of the rest"
+	}
+	return text
+}
+
 // viewCaveat returns in what way this entry's own view may be incomplete or old; empty if
 // it is neither.
 func (e *Entry) viewCaveat() string {
@@ -143,6 +174,8 @@
 	switch kind {
 	case "workers":
 		return e.listWorkers()
+	case "idle":
+		return e.listIdle()
 	case "services":
 		return e.listServices()
 	case "dcs":
@@ -180,6 +213,21 @@
 	}, rows
 }
 
+// listIdle returns the long-running tasks without a run that this entry schedules.
+func (e *Entry) listIdle() ([]string, [][]string) {
+	var rows [][]string
+	for _, id := range e.idleTasks() {
+		j := e.jobs[id.Job]
+		spec := &j.row.Spec
+		r := e.explainIdle(j, id.N)
+		rows = append(rows, []string{
+			id.String(), string(id.Job), string(spec.Team), spec.Class, r.idle.Round(time.Millisecond).String(), r.stage,
+			string(r.reason), string(r.worker), strconv.Itoa(r.orders), string(r.refusal),
+		})
+	}
+	return []string{"task", "job", "team", "class", "idle", "stage", "reason", "worker", "orders", "refusal"}, rows
+}
+
 func num(n int64) string { return strconv.FormatInt(n, 10) }
 
 func (e *Entry) listServices() ([]string, [][]string) {
--- a/core/idlelog_test.go
+++ b/core/idlelog_test.go
@@ -82,5 +82,8 @@
 	s.heartbeatsFor(5 * time.Second)
 	why := s.ask(core.Why{Kind: "task", ID: core.TaskID{Job: testJob}.String()})
 	assert.DeepEqual(t, why.Rows[0], []string{"state", "cancelled"})
+	r := s.show("idle")
+	assert.Equal(t, r.Outcome, core.CommandDone, r.Text)
+	assert.Equal(t, len(r.Rows), 0, "%v", r.Rows)
 	assert.Equal(t, len(s.notes("task idle")), 0, "%v", s.notes("task idle"))
 }
--- a/query/check.go
+++ b/query/check.go
@@ -33,7 +33,7 @@
 
 // Object kinds and comparison operators that statements accept.
 var (
-	showKinds   = []string{"workers", "tasks", "jobs", "services", "dcs", "teams", "policy", "entries"}
+	showKinds   = []string{"workers", "tasks", "jobs", "idle", "services", "dcs", "teams", "policy", "entries"}
 	whyKinds    = []string{"task", "job", "worker", "request", "dc"}
 	createKinds = []string{"service", "dc", "team", "job"}
 	comparisons = []string{"=", "!=", "<", ">", "<=", ">="}
--- a/query/fuzz_test.go
+++ b/query/fuzz_test.go
@@ -49,7 +49,7 @@
 				Value:  texts(t, "value"),
 			})
 		}
-		return core.Show{Kind: rapid.SampledFrom([]string{"workers", "tasks", "teams"}).Draw(t, "rows"), Where: where}
+		return core.Show{Kind: rapid.SampledFrom([]string{"workers", "tasks", "idle", "teams"}).Draw(t, "rows"), Where: where}
 	case 1:
 		return core.Why{Kind: rapid.SampledFrom([]string{"task", "job", "worker", "request", "dc"}).Draw(t, "thing"), ID: texts(t, "id")}
 	case 2:
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -26,6 +26,7 @@
 		{`show tasks where dc = "bog-1" and state = running and team != uni`, core.Show{Kind: "tasks", Where: []core.Match{
 			{Column: "dc", Op: "=", Value: "bog-1"}, {Column: "state", Op: "=", Value: "running"}, {Column: "team", Op: "!=", Value: "uni"},
 		}}},
+		{`show idle where reason = room`, core.Show{Kind: "idle", Where: []core.Match{{Column: "reason", Op: "=", Value: "room"}}}},
 		{`show jobs where tasks>3`, core.Show{Kind: "jobs", Where: []core.Match{{Column: "tasks", Op: ">", Value: "3"}}}},
 		{`why task "import-1.3"`, core.Why{Kind: "task", ID: "import-1.3"}},
 		{`why request 9f3a`, core.Why{Kind: "request", ID: "9f3a"}},
@@ -68,7 +69,7 @@
 		{"frobnicate x", []string{`1:1: unknown statement "frobnicate"; the verbs are show, why,`}},
 		{"show", []string{"1:1: show needs one of workers, tasks"}},
 		{"show wokers where", []string{
-			`1:6: show takes workers, tasks, jobs, services, dcs, teams, policy, entries, not "wokers"`,
+			`1:6: show takes workers, tasks, jobs, idle, services, dcs, teams, policy, entries, not "wokers"`,
 			"a condition is a column, a comparison and a value",
 		}},
 		{`show tasks where dc == bog-1 and state = and , = 3 and x = ""`, []string{
