core: say why a long-running task has no run

`why task` told of a long-running task its state and, while queued, what it waits for; not since when it has no run, how far its next run has come, or which orders did not start it. It now adds the rows "without a run for", "stage", "next worker", "orders without a start" and "last refusal", which come from explainIdle like the log line and `show idle`. The entry that schedules the job knows them; any other names that entry as before.

TestWhyTaskTellsIdleTask and TestWhyTaskTellsRefusedOrders failed first and pass.

--- a/core/entrywhy.go
+++ b/core/entrywhy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -146,6 +147,25 @@
 	case TaskClaimed:
 		rows = append(rows, e.whyPlaced(j, n)...)
 	}
+	if j.isIdle(n) {
+		rows = append(rows, e.explainIdle(j, n).rows()...)
+	}
+	return rows
+}
+
+// rows returns the rows of the answer to `why task` about a long-running task without a run.
+func (r idleReasons) rows() [][]string {
+	rows := [][]string{
+		{"without a run for", r.idle.Round(time.Millisecond).String()},
+		{"stage", r.stage},
+	}
+	if r.worker != "" {
+		rows = append(rows, []string{"next worker", string(r.worker)})
+	}
+	rows = append(rows, []string{"orders without a start", strconv.Itoa(r.orders)})
+	if r.refusal != ReasonNone {
+		rows = append(rows, []string{"last refusal", string(r.refusal)})
+	}
 	return rows
 }
 
--- a/core/showidle_test.go
+++ b/core/showidle_test.go
@@ -118,3 +118,68 @@
 	assert.Equal(t, len(r.Rows), 0)
 	assert.Assert(t, strings.Contains(r.Text, "shards"), "%q", r.Text)
 }
+
+// whyTask returns the rows of the answer to `why task` by their first column.
+func (h *entryHarness) whyTask(id core.TaskID) map[string]string {
+	h.t.Helper()
+	r := h.ask(core.Why{Kind: "task", ID: id.String()})
+	assert.Equal(h.t, r.Outcome, core.CommandDone, r.Text)
+	reasons := map[string]string{}
+	for _, row := range r.Rows {
+		reasons[row[0]] = row[1]
+	}
+	return reasons
+}
+
+// `why task` must tell of a long-running task without a run what the log and `show idle` tell.
+func TestWhyTaskTellsIdleTask(t *testing.T) {
+	s := newWorkerHarness(t)
+	attempt := s.evictForRoom()
+	s.heartbeatsFor(5 * time.Second)
+	why, shown := s.whyTask(attempt.Task), s.show("idle")
+	assert.Equal(t, why["without a run for"], cell(t, shown, "idle"))
+	assert.Equal(t, why["stage"], "queued")
+	assert.Equal(t, why["waits for"], "room on a worker")
+	assert.Equal(t, why["orders without a start"], "0")
+	for _, what := range []string{"next worker", "last refusal"} {
+		_, told := why[what]
+		assert.Assert(t, !told, what)
+	}
+}
+
+// `why task` must tell which worker the next run of a long-running task waits for, and which
+// orders did not start it.
+func TestWhyTaskTellsRefusedOrders(t *testing.T) {
+	s := newWorkerHarness(t)
+	s.worker("a", "api", 0.4)
+	s.heartbeatAll()
+	_, attempt := s.place(longRunningStep)
+	start, ok := s.lastStart()
+	assert.Assert(t, ok)
+	why := s.whyTask(attempt.Task)
+	assert.Equal(t, why["stage"], "ordered")
+	assert.Equal(t, why["next worker"], "a")
+	s.run(core.StartAnswered{Token: start.Token, Reason: core.ReasonRoom})
+	why = s.whyTask(attempt.Task)
+	assert.Equal(t, why["orders without a start"], "1")
+	assert.Equal(t, why["last refusal"], string(core.ReasonRoom))
+}
+
+// A long-running task that runs, and a task of another kind, must have no such rows.
+func TestWhyTaskOmitsIdleOfOthers(t *testing.T) {
+	s := newWorkerHarness(t)
+	s.worker("a", "api", 0.4)
+	s.heartbeatAll()
+	_, attempt := s.place(longRunningStep)
+	b := s.heartbeats["a"]
+	b.Running = []core.Attempt{attempt}
+	s.heartbeats["a"] = b
+	s.heartbeatAll()
+	assert.Equal(t, s.whyTask(attempt.Task)["stage"], "")
+
+	s = newWorkerHarness(t)
+	s.worker("a", "api", 0.4)
+	s.heartbeatAll()
+	_, attempt = s.place(core.StepSpec{Image: "f"})
+	assert.Equal(t, s.whyTask(attempt.Task)["stage"], "")
+}
