core: count orders that are handed back as without a start

An agent that accepts the order of a long-running task and finds no room for it within its permit hands it back. They count now, and `refusal` is the end's reason. Where a task is placed is as before: it depends on orders that were refused, kept apart as `refused`.

TestIdleTaskTellsOrderHandedBack found 0 orders first, and finds 1 now.

--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -17,7 +17,8 @@
 	since     time.Time // orders that are refused don't change it
 	awaitedOn WorkerID  // where it has waited for room last; empty if nowhere
 	orders    int       // orders that did not start it
-	refusal   Reason    // of the last of them
+	refusal   string    // why the last of them did not
+	refused   bool      // one of them was not accepted at all
 	loggedAt  time.Time
 }
 
@@ -45,19 +46,22 @@
 func (j *jobView) noteRefusal(n int, r Reason) {
 	if t := j.idle[n]; t != nil {
 		t.orders++
-		t.refusal = r
+		t.refusal = string(r)
+		t.refused = true
 	}
 }
 
-// hasBeenRefused reports whether orders of a long-running task have not started it since its
+// hasBeenRefused reports whether an order of a long-running task was not accepted since its
 // last run.
-func (j *jobView) hasBeenRefused(n int) bool { return j.idle[n] != nil && j.idle[n].orders > 0 }
+func (j *jobView) hasBeenRefused(n int) bool { return j.idle[n] != nil && j.idle[n].refused }
 
 // noteHandedBack records that a worker has handed a long-running task back which has waited
 // there for room. The room that is free by now is kept for it for a moment.
 func (j *jobView) noteHandedBack(end End, w WorkerID) {
 	if t := j.idle[end.Attempt.Task.N]; t != nil && end.Kind == EndEvicted && !end.Started {
 		t.awaitedOn = w
+		t.orders++
+		t.refusal = end.Reason
 	}
 }
 
@@ -158,7 +162,7 @@
 	worker  WorkerID // where it is to run; empty while queued
 	reason  Reason   // that it waits for; empty unless it is queued
 	orders  int      // that have not started it
-	refusal Reason   // of the last of them
+	refusal string   // why the last of them did not
 }
 
 // explainIdle returns why a long-running task that has no run does not run.
@@ -173,7 +177,7 @@
 // logIdle logs since when a task has not run, and what it waits for.
 func (e *Entry) logIdle(id TaskID, r idleReasons) {
 	e.logEvent("task idle", id.String(), "since", r.idle.String(),
-		"stage", r.stage, "reason", string(r.reason), "worker", string(r.worker), "orders", r.orders, "refusal", string(r.refusal))
+		"stage", r.stage, "reason", string(r.reason), "worker", string(r.worker), "orders", r.orders, "refusal", r.refusal)
 }
 
 // Stages of a long-running task without a run, for logs and operators.
--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -222,7 +222,7 @@
 		r := e.explainIdle(j, id.N)
 		rows = append(rows, []string{
 			id.String(), string(id.Job), string(spec.Team), spec.Class, r.idle.Round(time.Millisecond).String(), r.stage,
-			string(r.reason), string(r.worker), strconv.Itoa(r.orders), string(r.refusal),
+			string(r.reason), string(r.worker), strconv.Itoa(r.orders), r.refusal,
 		})
 	}
 	return []string{"task", "job", "team", "class", "idle", "stage", "reason", "worker", "orders", "refusal"}, rows
--- a/core/entrywhy.go
+++ b/core/entrywhy.go
@@ -163,8 +163,8 @@
 		rows = append(rows, []string{"next worker", string(r.worker)})
 	}
 	rows = append(rows, []string{"orders without a start", strconv.Itoa(r.orders)})
-	if r.refusal != ReasonNone {
-		rows = append(rows, []string{"last refusal", string(r.refusal)})
+	if r.refusal != "" {
+		rows = append(rows, []string{"last refusal", r.refusal})
 	}
 	return rows
 }
--- a/core/showidle_test.go
+++ b/core/showidle_test.go
@@ -183,3 +183,26 @@
 	_, attempt = s.place(core.StepSpec{Image: "f"})
 	assert.Equal(t, s.whyTask(attempt.Task)["stage"], "")
 }
+
+// An agent accepts an order and hands it back as no room has come within its permit: that
+// order did not start the task either, and must be told.
+func TestIdleTaskTellsOrderHandedBack(t *testing.T) {
+	s := newWorkerHarness(t)
+	s.worker("a", "api", 0.4)
+	s.heartbeatAll()
+	_, attempt := s.place(longRunningStep)
+	start, ok := s.lastStart()
+	assert.Assert(t, ok)
+	s.run(core.StartAnswered{Token: start.Token, Started: true})
+	assert.Equal(t, cell(t, s.show("idle"), "stage"), "admitted")
+	s.endRun("a", core.End{Attempt: attempt, Kind: core.EndEvicted, Reason: "no room within its permit"})
+	s.heartbeatsFor(3 * time.Second)
+	r := s.show("idle")
+	assert.Equal(t, cell(t, r, "orders"), "1")
+	assert.Equal(t, cell(t, r, "refusal"), "no room within its permit")
+	why := s.whyTask(attempt.Task)
+	assert.Equal(t, why["orders without a start"], "1")
+	lines := s.notes("task idle")
+	assert.Assert(t, len(lines) > 0)
+	assert.Equal(t, field(lines[0], "orders"), 1)
+}
