core: compare times in the conditions of show

`show idle where idle > 10s` was accepted and compared as text, so it listed a task that had waited for less. The same held for `heard`, `timeout`, `p50` and `p99`. Two times with units now compare as times; numbers and text compare as before (but for "nan", which now equals itself).

TestShowComparesTimes failed first (idle > 10s) and passes.

--- a/core/entryshow.go
+++ b/core/entryshow.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -145,30 +146,41 @@
 	return -1
 }
 
-// compare evaluates cell op value: as numbers if both are numbers, else as text.
+// compare evaluates cell op value.
 func compare(cell, op, value string) bool {
-	x, errX := strconv.ParseFloat(cell, 64)
-	y, errY := strconv.ParseFloat(value, 64)
-	if errX != nil || errY != nil {
-		x, y = float64(strings.Compare(cell, value)), 0
-	}
+	c := compareCells(cell, value)
 	switch op {
 	case "=":
-		return x == y
+		return c == 0
 	case "!=":
-		return x != y
+		return c != 0
 	case "<":
-		return x < y
+		return c < 0
 	case ">":
-		return x > y
+		return c > 0
 	case "<=":
-		return x <= y
+		return c <= 0
 	case ">=":
-		return x >= y
+		return c >= 0
 	}
 	return false
 }
 
+// compareCells compares two cells as numbers or as times if both are, else as text.
+func compareCells(a, b string) int {
+	x, errX := strconv.ParseFloat(a, 64)
+	y, errY := strconv.ParseFloat(b, 64)
+	if errX == nil && errY == nil {
+		return cmp.Compare(x, y)
+	}
+	s, errS := time.ParseDuration(a)
+	t, errT := time.ParseDuration(b)
+	if errS == nil && errT == nil {
+		return cmp.Compare(s, t)
+	}
+	return strings.Compare(a, b)
+}
+
 // list returns the columns and rows of one kind, or nil columns for an unknown kind.
 func (e *Entry) list(kind string) ([]string, [][]string) {
 	switch kind {
--- a/core/showidle_test.go
+++ b/core/showidle_test.go
@@ -206,3 +206,21 @@
 	assert.Assert(t, len(lines) > 0)
 	assert.Equal(t, field(lines[0], "orders"), 1)
 }
+
+// Times must compare as times: as text, 4.5s is more than 10s.
+func TestShowComparesTimes(t *testing.T) {
+	s := newWorkerHarness(t)
+	s.evictForRoom()
+	s.heartbeatsFor(4500 * time.Millisecond)
+	idle, err := time.ParseDuration(cell(t, s.show("idle"), "idle"))
+	assert.NilError(t, err)
+	same := strconv.FormatInt(idle.Milliseconds(), 10) + "ms"
+	for _, tc := range []struct {
+		op, value string
+		rows      int
+	}{{">", "10s", 0}, {"<", "10s", 1}, {">", "3500ms", 1}, {"<=", "2s", 0}, {"=", same, 1}, {"!=", same, 0}} {
+		where := []core.Match{{Column: "idle", Op: tc.op, Value: tc.value}}
+		r := s.ask(core.Show{Kind: "idle", Where: where})
+		assert.Equal(t, len(r.Rows), tc.rows, "idle %s %s", tc.op, tc.value)
+	}
+}
