--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -17,7 +17,8 @@
 	since     time.Time // orders that are refused don't change it
 	awaitedOn WorkerID  // where it has waited for room last; empty if nowhere
 	orders    int       // orders that did not start it
-	refusal   Reason    // of the last of them
+	refusal   string    // why the last of them did not
+	refused   bool      // one of them was not accepted at all
 	loggedAt  time.Time
 }
 
@@ -45,19 +46,22 @@
 func (j *jobView) noteRefusal(n int, r Reason) {
 	if t := j.idle[n]; t != nil {
 		t.orders++
-		t.refusal = r
+		t.refusal = string(r)
+		t.refused = true
 	}
 }
 
-// hasBeenRefused reports whether orders of a long-running task have not started it since its
+// hasBeenRefused reports whether an order of a long-running task was not accepted since its
 // last run.
-func (j *jobView) hasBeenRefused(n int) bool { return j.idle[n] != nil && j.idle[n].orders > 0 }
+func (j *jobView) hasBeenRefused(n int) bool { return j.idle[n] != nil && j.idle[n].refused }
 
 // noteHandedBack records that a worker has handed a long-running task back which has waited
 // there for room. The room that is free by now is kept for it for a moment.
 func (j *jobView) noteHandedBack(end End, w WorkerID) {
 	if t := j.idle[end.Attempt.Task.N]; t != nil && end.Kind == EndEvicted && !end.Started {
 		t.awaitedOn = w
+		t.orders++
+		t.refusal = end.Reason
 	}
 }
 
@@ -122,7 +126,8 @@
 	for _, id := range e.idleTasks() {
 		j := e.jobs[id.Job]
 		if t := j.idle[id.N]; e.at.Now.Sub(latest(t.since, t.loggedAt)) >= idleLogAfter {
-			e.logIdle(j, id.N, t)
+			t.loggedAt = e.at.Now
+			e.logIdle(id, e.explainIdle(j, id.N))
 		}
 	}
 }
@@ -132,7 +137,7 @@
 	var ids []TaskID
 	for id, j := range e.jobs {
 		for n := range j.idle {
-			if !j.foreign {
+			if j.isIdle(n) {
 				ids = append(ids, TaskID{Job: id, N: n})
 			}
 		}
@@ -141,15 +146,41 @@
 	return ids
 }
 
-// logIdle logs since when a task has not run, and what it waits for.
-func (e *Entry) logIdle(j *jobView, n int, t *idleTask) {
-	t.loggedAt = e.at.Now
+// isIdle reports whether a long-running task that this entry schedules is to run and has no
+// run. One that has ended, or whose job is cancelled, is not to run.
+func (j *jobView) isIdle(n int) bool {
+	if j.idle[n] == nil || j.foreign || j.row.Cancel || n >= len(j.row.Tasks) {
+		return false
+	}
+	return !j.row.Tasks[n].State.Final()
+}
+
+// idleReasons is why a long-running task does not run, for logs and operators.
+type idleReasons struct {
+	idle    time.Duration // since its last run ended, as far as this entry knows
+	stage   string
+	worker  WorkerID // where it is to run; empty while queued
+	reason  Reason   // that it waits for; empty unless it is queued
+	orders  int      // that have not started it
+	refusal string   // why the last of them did not
+}
+
+// explainIdle returns why a long-running task that has no run does not run.
+func (e *Entry) explainIdle(j *jobView, n int) idleReasons {
+	t := j.idle[n]
 	stage, w := j.idleStage(n)
-	e.logEvent("task idle", TaskID{Job: j.row.Spec.ID, N: n}.String(), "since", e.at.Now.Sub(t.since).String(),
-		"stage", stage, "reason", string(j.waitReasons[n]), "worker", string(w), "orders", t.orders, "refusal", string(t.refusal))
+	return idleReasons{
+		idle: e.at.Now.Sub(t.since), stage: stage, worker: w, reason: j.waitReasons[n], orders: t.orders, refusal: t.refusal,
+	}
+}
+
+// logIdle logs since when a task has not run, and what it waits for.
+func (e *Entry) logIdle(id TaskID, r idleReasons) {
+	e.logEvent("task idle", id.String(), "since", r.idle.String(),
+		"stage", r.stage, "reason", string(r.reason), "worker", string(r.worker), "orders", r.orders, "refusal", r.refusal)
 }
 
-// Stages of a long-running task without a run, for logs.
+// Stages of a long-running task without a run, for logs and operators.
 const (
 	idleQueued    = "queued"    // no worker has been chosen
 	idleUnwritten = "unwritten" // the claim is not in the table yet
