core: run overdue long-running tasks in quarantine

One that has had no run for 1 s now takes a worker in quarantine if it could neither run nor wait for room elsewhere, and one of 3 s takes the room there rather than wait on a full worker. Short tasks wait as before.

TestLongRunningTaskRunsInQuarantine and TestLongRunningTaskRunsInQuarantineRatherThanWaitForRoom failed before: not placed within 6 s. TestQuarantinedWorkerComesLast passed before.

--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -12,6 +12,10 @@
 // the one that it has failed on. It also spaces the runs of one that fails wherever it can be placed.
 const idlePatience = time.Second
 
+// quarantinePatience is how long a long-running task without a run waits for room before it
+// takes the room on a worker in quarantine.
+const quarantinePatience = 3 * time.Second
+
 // idleTask is what an entry knows of a long-running task that does not run.
 type idleTask struct {
 	since     time.Time // orders that are refused don't change it
@@ -75,6 +79,57 @@
 	return j.row.Spec.Step(q.task.N).LongRunning && e.at.Now.Sub(q.idleSince) >= idlePatience
 }
 
+// pickOverdue chooses a worker for an overdue long-running task: one with room on which the
+// task has failed, else a full one, and one in quarantine last.
+func (e *Entry) pickOverdue(need place.Need, j *jobView, q queuedTask, st StepSpec) (WorkerID, bool) {
+	anywhere := need
+	anywhere.Exclude = append(e.refusing(j), e.unfit(j, q.task.N, st)...)
+	if id, ok := e.pickOne(anywhere, j, q, st); ok {
+		return id, true
+	}
+	if e.mayLeaveForQuarantine(q, need) {
+		return e.pickQuarantined(need)
+	}
+	if id, ok := e.pickAwaited(need); ok {
+		return id, true
+	}
+	return e.pickQuarantined(anywhere)
+}
+
+// mayLeaveForQuarantine reports whether a long-running task has waited for room for so long
+// that a worker in quarantine with room is better than a full one.
+func (e *Entry) mayLeaveForQuarantine(q queuedTask, need place.Need) bool {
+	if e.at.Now.Sub(q.idleSince) < quarantinePatience {
+		return false
+	}
+	id, ok := e.pickQuarantined(need)
+	return ok && need.Size.Fits(e.workers[id].free())
+}
+
+// pickQuarantined chooses the worker in quarantine with the most free capacity, one with room
+// if there is any.
+func (e *Entry) pickQuarantined(need place.Need) (best WorkerID, ok bool) {
+	var most int64
+	hasRoom := false
+	for _, id := range e.workerIDs() {
+		w := e.workers[id]
+		if !w.failures.isQuarantined(e.at.Now) || !e.couldHold(w, need) {
+			continue
+		}
+		free := w.free()
+		if fits := need.Size.Fits(free); best == "" || fits && !hasRoom || fits == hasRoom && free.Millicores > most {
+			best, most, hasRoom = id, free.Millicores, fits
+		}
+	}
+	return best, best != ""
+}
+
+// free returns the capacity of a worker that is not committed.
+func (w *workerView) free() Size {
+	all, _ := w.committed()
+	return w.heartbeat.Capacity.Minus(all)
+}
+
 // pickAwaited chooses a full worker on which an overdue long-running task waits until short
 // tasks complete: the one where least has to complete, among those of this home if it has
 // any. The agent there decides whether the task may wait.
@@ -86,8 +141,7 @@
 		if !e.canAwait(w, need) {
 			continue
 		}
-		all, _ := w.committed()
-		free := w.heartbeat.Capacity.Minus(all).Millicores
+		free := w.free().Millicores
 		if p := e.prefers(w); best == "" || p && !preferred || p == preferred && free > most {
 			best, most, preferred = id, free, p
 		}
@@ -95,10 +149,15 @@
 	return best, best != ""
 }
 
-// canAwait reports whether a task could run on a worker if only the long-running tasks there
-// were left.
+// canAwait reports whether a long-running task may wait for room on a worker.
 func (e *Entry) canAwait(w *workerView, need place.Need) bool {
-	if _, ok := e.usable(w); !ok || w.heartbeat.LeaseLapsed || w.failures.isQuarantined(e.at.Now) || w.isolatedJob() != "" {
+	return !w.failures.isQuarantined(e.at.Now) && e.couldHold(w, need)
+}
+
+// couldHold reports whether a task could run on a worker if only the long-running tasks there
+// were left, apart from a quarantine.
+func (e *Entry) couldHold(w *workerView, need place.Need) bool {
+	if _, ok := e.usable(w); !ok || w.heartbeat.LeaseLapsed || w.isolatedJob() != "" {
 		return false
 	}
 	left := w.heartbeat.Capacity.Minus(Size{Millicores: w.longRunningMillicores()})
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -90,7 +90,7 @@
 func (e *Entry) pick(j *jobView, q queuedTask) (WorkerID, bool) {
 	st := j.row.Spec.Step(q.task.N)
 	need := e.need(j, q, st)
-	if w := e.workers[j.takeAwaited(q.task.N)]; st.LongRunning && w != nil && e.canAwait(w, need) {
+	if w := e.workers[j.takeAwaited(q.task.N)]; st.LongRunning && w != nil && e.canAwait(w, need) && !e.mayLeaveForQuarantine(q, need) {
 		return w.id, true
 	}
 	if j.isSuspect(q.task.N) {
@@ -110,12 +110,7 @@
 	if id, ok := e.pickOne(need, j, q, st); ok || !e.isOverdue(j, q) {
 		return id, ok
 	}
-	anywhere := need
-	anywhere.Exclude = append(e.refusing(j), e.unfit(j, q.task.N, st)...)
-	if id, ok := e.pickOne(anywhere, j, q, st); ok {
-		return id, true
-	}
-	return e.pickAwaited(need)
+	return e.pickOverdue(need, j, q, st)
 }
 
 // need returns a task's requirements for placement.
--- /dev/null
+++ b/core/wait_test.go
@@ -0,0 +1,130 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jayloft/core"
+)
+
+// waitScene is an entry with workers that the test controls.
+type waitScene struct {
+	*bench
+	hbs []core.Heartbeat
+}
+
+// newWaitScene returns a scene with this number of workers, which are empty.
+func newWaitScene(t *testing.T, workers int) *waitScene {
+	s := &waitScene{bench: newBench(t), hbs: make([]core.Heartbeat, workers)}
+	for i := range s.hbs {
+		s.hbs[i] = benchHeartbeat(i, s.now)
+		s.hbs[i].Services = []core.ServiceLoad{{Service: "s"}}
+	}
+	s.run(3 * time.Second)
+	s.heartbeatAll(s.hbs)
+	return s
+}
+
+// put stores a job of one step.
+func (s *waitScene) put(id core.JobID, st core.StepSpec) {
+	row := core.JobRow{Tasks: make([]core.TaskRow, st.Count), Spec: core.JobSpec{
+		ID: id, Service: "s", Attempts: 1, Steps: []core.StepSpec{st},
+	}}
+	s.table.put(s.tb, keyOfJob(id), row)
+}
+
+// task returns the row of a job's task.
+func (s *waitScene) task(id core.JobID, n int) core.TaskRow {
+	s.tb.Helper()
+	rec, err := core.Decode(keyOfJob(id), s.table.rows[keyOfJob(id)].Value)
+	assert.NilError(s.tb, err)
+	return rec.(core.JobRow).Tasks[n]
+}
+
+// placedWithin returns the worker on which the task of the job "long" is placed within a time.
+func (s *waitScene) placedWithin(d time.Duration) (core.WorkerID, time.Duration) {
+	began := s.now
+	for s.now.Sub(began) < d {
+		s.heartbeatAll(s.hbs)
+		s.run(100 * time.Millisecond)
+		if t := s.task("long", 0); t.State == core.TaskClaimed {
+			return t.Holder.Worker, s.now.Sub(began)
+		}
+	}
+	return "", d
+}
+
+// quarantine makes a task of each of three jobs fail on each of the workers.
+func (s *waitScene) quarantine(workers ...int) {
+	for _, w := range workers {
+		for j := range 3 {
+			id := core.JobID(fmt.Sprintf("fails%d-%d", w, j))
+			h := core.Holder{Worker: s.hbs[w].Worker, Inc: s.hbs[w].Inc}
+			s.table.put(s.tb, keyOfJob(id), core.JobRow{
+				Spec: core.JobSpec{ID: id, Service: "s", Attempts: 1, Steps: []core.StepSpec{
+					{Count: 1, Size: core.Size{Millicores: 100, MemoryMB: 100}},
+				}},
+				Tasks: []core.TaskRow{{State: core.TaskClaimed, Attempt: 1, Holder: h}},
+			})
+			end := core.End{Attempt: core.Attempt{Task: core.TaskID{Job: id}, Number: 1}, Kind: core.EndFailed, Started: true}
+			s.hbs[w].Ends = append(s.hbs[w].Ends, end)
+		}
+	}
+	s.run(time.Second)
+	s.heartbeatAll(s.hbs)
+	s.run(100 * time.Millisecond)
+	for _, w := range workers {
+		assert.Equal(s.tb, s.task(core.JobID(fmt.Sprintf("fails%d-2", w)), 0).State, core.TaskFailed)
+	}
+}
+
+var waitingStep = core.StepSpec{Count: 1, LongRunning: true, Image: "api", Target: 50 * time.Millisecond, Size: core.Size{Millicores: 2000, MemoryMB: 1000}}
+
+// All workers are in quarantine: a long-running task must run on one of them rather than
+// nowhere, and a short task must wait.
+func TestLongRunningTaskRunsInQuarantine(t *testing.T) {
+	s := newWaitScene(t, 2)
+	s.quarantine(0, 1)
+	s.put("short", core.StepSpec{Count: 1, Size: core.Size{Millicores: 2000, MemoryMB: 1000}})
+	s.put("long", waitingStep)
+	got, after := s.placedWithin(maxIdle)
+	assert.Assert(t, got != "", "not placed within %s", after)
+	assert.Equal(t, s.task("short", 0).State, core.TaskWaiting)
+}
+
+// One worker is in quarantine: a long-running task must run on the other one while that has
+// room.
+func TestQuarantinedWorkerComesLast(t *testing.T) {
+	s := newWaitScene(t, 2)
+	s.quarantine(0)
+	s.put("long", waitingStep)
+	got, _ := s.placedWithin(maxIdle)
+	assert.Equal(t, got, s.hbs[1].Worker)
+}
+
+// One worker is in quarantine and has room, the other one is full of short tasks that run on:
+// a long-running task must not wait there for longer than any may.
+func TestLongRunningTaskRunsInQuarantineRatherThanWaitForRoom(t *testing.T) {
+	s := newWaitScene(t, 2)
+	s.quarantine(0)
+	s.hbs[1].Committed = s.hbs[1].Capacity
+	s.put("long", waitingStep)
+	began := s.now
+	got, _ := s.placedWithin(maxIdle)
+	for number := uint32(1); got == s.hbs[1].Worker && s.now.Sub(began) < maxIdle; number++ {
+		a := core.Attempt{Task: core.TaskID{Job: "long"}, Number: number}
+		s.hbs[1].Running, s.hbs[1].Launching = []core.Attempt{a}, []core.Attempt{a}
+		for range 20 { // it waits there for room
+			s.heartbeatAll(s.hbs)
+			s.run(100 * time.Millisecond)
+		}
+		s.hbs[1].Running, s.hbs[1].Launching = nil, nil
+		s.hbs[1].Ends = append(s.hbs[1].Ends, core.End{Attempt: a, Kind: core.EndEvicted, Reason: "no room within its permit"})
+		s.heartbeatAll(s.hbs)
+		got, _ = s.placedWithin(maxIdle - s.now.Sub(began))
+	}
+	assert.Equal(t, got, s.hbs[0].Worker, "not placed within %s", maxIdle)
+}
