core: place overdue long-running tasks before all others

The queue now begins with the long-running tasks that have had no run for 1 s, the longest first; all others are ordered as before.

TestLongRunningTaskIsPlacedBehindManySteps failed before: not placed within 6 s with room for it and 60 steps before it.

--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -35,6 +35,7 @@
 	number     uint64    // order of arrival
 	since      time.Time // when it was queued
 	idleSince  time.Time // of a long-running task: since when it has not run
+	overdue    bool      // see isOverdue, as of the last sort
 }
 
 // newQueuedTask returns the queue entry of a job's task.
@@ -98,8 +99,8 @@
 // considered for placement.
 func (q *taskQueue) remove(t TaskID) { delete(q.has, t) }
 
-// sortQueue sorts the queued tasks by the ranks of their jobs, which change as
-// deadlines pass, and then by arrival.
+// sortQueue sorts the queued tasks: overdue long-running ones first, then by the ranks of
+// their jobs, which change as deadlines pass, and then by arrival.
 func (e *Entry) sortQueue() {
 	q := &e.queue
 	if !q.unsorted && e.at.Now.Sub(q.sortedAt) < rankInterval {
@@ -118,12 +119,22 @@
 				ranks[id] = e.rankOf(j)
 			}
 			ws[i].rank = ranks[id]
+			ws[i].overdue = e.isOverdue(j, ws[i])
 		}
 		slices.SortStableFunc(ws, queuedTask.compare)
 	}
 }
 
-// compare orders tasks by rank, then by arrival.
+// compare orders overdue tasks by how long they have had no run, and the others behind them by
+// rank, then by arrival.
 func (w queuedTask) compare(o queuedTask) int {
+	switch {
+	case w.overdue && o.overdue:
+		return cmp.Or(w.idleSince.Compare(o.idleSince), cmp.Compare(w.number, o.number))
+	case w.overdue:
+		return -1
+	case o.overdue:
+		return 1
+	}
 	return cmp.Or(w.rank.Compare(o.rank), cmp.Compare(w.number, o.number))
 }
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -29,9 +29,9 @@
 }
 
 // put stores a job of one step.
-func (s *waitScene) put(id core.JobID, st core.StepSpec) {
+func (s *waitScene) put(id core.JobID, priority int, st core.StepSpec) {
 	row := core.JobRow{Tasks: make([]core.TaskRow, st.Count), Spec: core.JobSpec{
-		ID: id, Service: "s", Attempts: 1, Steps: []core.StepSpec{st},
+		ID: id, Service: "s", Priority: priority, Attempts: 1, Steps: []core.StepSpec{st},
 	}}
 	s.table.put(s.tb, keyOfJob(id), row)
 }
@@ -88,8 +88,8 @@
 func TestLongRunningTaskRunsInQuarantine(t *testing.T) {
 	s := newWaitScene(t, 2)
 	s.quarantine(0, 1)
-	s.put("short", core.StepSpec{Count: 1, Size: core.Size{Millicores: 2000, MemoryMB: 1000}})
-	s.put("long", waitingStep)
+	s.put("short", 0, core.StepSpec{Count: 1, Size: core.Size{Millicores: 2000, MemoryMB: 1000}})
+	s.put("long", 0, waitingStep)
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
 	assert.Equal(t, s.task("short", 0).State, core.TaskWaiting)
@@ -100,7 +100,7 @@
 func TestQuarantinedWorkerComesLast(t *testing.T) {
 	s := newWaitScene(t, 2)
 	s.quarantine(0)
-	s.put("long", waitingStep)
+	s.put("long", 0, waitingStep)
 	got, _ := s.placedWithin(maxIdle)
 	assert.Equal(t, got, s.hbs[1].Worker)
 }
@@ -111,7 +111,7 @@
 	s := newWaitScene(t, 2)
 	s.quarantine(0)
 	s.hbs[1].Committed = s.hbs[1].Capacity
-	s.put("long", waitingStep)
+	s.put("long", 0, waitingStep)
 	began := s.now
 	got, _ := s.placedWithin(maxIdle)
 	for number := uint32(1); got == s.hbs[1].Worker && s.now.Sub(began) < maxIdle; number++ {
@@ -128,3 +128,28 @@
 	}
 	assert.Equal(t, got, s.hbs[0].Worker, "not placed within %s", maxIdle)
 }
+
+// More steps of short tasks than one scan tries find no room, and rank before a long-running
+// task that waits too: it must get the room that it needs as soon as there is some.
+func TestLongRunningTaskIsPlacedBehindManySteps(t *testing.T) {
+	s := newWaitScene(t, 2)
+	s.commit(s.hbs[0].Capacity.Millicores)
+	for i := range 60 { // none fits where another one does not for sure, so each is searched for
+		size := core.Size{Millicores: int64(8000 - 10*i), MemoryMB: int64(1000 + i)}
+		s.put(core.JobID(fmt.Sprintf("before%02d", i)), 0, core.StepSpec{Count: 1, Size: size})
+	}
+	s.put("long", 9, waitingStep)
+	s.run(time.Second)
+	assert.Equal(t, s.task("long", 0).State, core.TaskWaiting)
+	s.commit(12000)
+	got, after := s.placedWithin(maxIdle)
+	assert.Assert(t, got != "", "not placed within %s", after)
+}
+
+// commit sets the processors that all workers have committed to long-running tasks.
+func (s *waitScene) commit(millicores int64) {
+	for i := range s.hbs {
+		s.hbs[i].Committed.Millicores, s.hbs[i].LongRunning = millicores, millicores
+	}
+	s.heartbeatAll(s.hbs)
+}
