core: try all overdue long-running tasks in turn

Those that a scan has passed over now come first in the next one.

TestLongRunningTaskIsPlacedBehindManyOthers failed before: not placed within 6 s with room for it and 130 tasks before it.

--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -36,6 +36,7 @@
 	since      time.Time // when it was queued
 	idleSince  time.Time // of a long-running task: since when it has not run
 	overdue    bool      // see isOverdue, as of the last sort
+	passedOver int       // scans since it was last tried that were at their limit of failures
 }
 
 // newQueuedTask returns the queue entry of a job's task.
@@ -125,12 +126,12 @@
 	}
 }
 
-// compare orders overdue tasks by how long they have had no run, and the others behind them by
-// rank, then by arrival.
+// compare orders overdue tasks by the scans that have passed them over, then by how long they
+// have had no run, and the others behind them by rank, then by arrival.
 func (w queuedTask) compare(o queuedTask) int {
 	switch {
 	case w.overdue && o.overdue:
-		return cmp.Or(w.idleSince.Compare(o.idleSince), cmp.Compare(w.number, o.number))
+		return cmp.Or(cmp.Compare(o.passedOver, w.passedOver), w.idleSince.Compare(o.idleSince), cmp.Compare(w.number, o.number))
 	case w.overdue:
 		return -1
 	case o.overdue:
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -112,7 +112,7 @@
 			left = append(left, ts[i:]...)
 			break
 		}
-		if e.queue.has[w.task] && !e.place(s, w) {
+		if e.queue.has[w.task] && !e.place(s, &w) {
 			left = append(left, w)
 		}
 	}
@@ -126,22 +126,24 @@
 }
 
 // place places one task and reports whether it leaves the queue.
-func (e *Entry) place(s *scan, w queuedTask) bool {
+func (e *Entry) place(s *scan, w *queuedTask) bool {
 	j := e.jobs[w.task.Job]
 	step := e.stepOf(w.task)
 	if s.steps[step] {
 		return false
 	}
-	sh, general := e.shapeOf(j, w)
+	sh, general := e.shapeOf(j, *w)
 	if j != nil && s.hasFailed(sh, j.row.Spec.Step(w.task.N).Size) {
 		e.recordNoRoom(j, w.task.N)
 		s.steps[step] = general && !sh.longRunning
 		return false
 	}
 	if sh.longRunning && s.awaited >= maxPlaceFailures {
+		w.passedOver++
 		return false
 	}
-	if e.placeTask(w) {
+	w.passedOver = 0
+	if e.placeTask(*w) {
 		s.placed++
 		e.queue.remove(w.task)
 		return true
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -153,3 +153,22 @@
 	}
 	s.heartbeatAll(s.hbs)
 }
+
+// More long-running tasks than one scan tries find no room, and have waited longer than one
+// that has room: it must be placed nevertheless.
+func TestLongRunningTaskIsPlacedBehindManyOthers(t *testing.T) {
+	s := newWaitScene(t, 2)
+	for i := range 130 { // no worker has the label
+		st := waitingStep
+		st.Label, st.Size = "none", core.Size{Millicores: int64(8000 - 10*i), MemoryMB: int64(1000 + i)}
+		s.put(core.JobID(fmt.Sprintf("before%02d", i)), 0, st)
+	}
+	s.run(2 * time.Second)
+	s.commit(s.hbs[0].Capacity.Millicores)
+	s.put("long", 0, waitingStep)
+	s.run(time.Second)
+	assert.Equal(t, s.task("long", 0).State, core.TaskWaiting)
+	s.commit(12000)
+	got, after := s.placedWithin(maxIdle)
+	assert.Assert(t, got != "", "not placed within %s", after)
+}
