core: let failed tasks await room on their worker

Once it is overdue it now waits there if it can wait nowhere else.

TestFailedLongRunningTaskAwaitsOnlyRoom failed before: not placed within 6 s.

--- a/core/entryidle.go
+++ b/core/entryidle.go
@@ -90,8 +90,10 @@
 	if e.mayLeaveForQuarantine(q, need) {
 		return e.pickQuarantined(need)
 	}
-	if id, ok := e.pickAwaited(need); ok {
-		return id, true
+	for _, n := range []place.Need{need, anywhere} {
+		if id, ok := e.pickAwaited(n); ok {
+			return id, true
+		}
 	}
 	return e.pickQuarantined(anywhere)
 }
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -172,3 +172,19 @@
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
+
+// A long-running task has failed on the only worker that could hold it, which is full of short
+// tasks by then: it must wait for room there.
+func TestFailedLongRunningTaskAwaitsOnlyRoom(t *testing.T) {
+	s := newWaitScene(t, 1)
+	s.put("long", 0, waitingStep)
+	got, _ := s.placedWithin(maxIdle)
+	assert.Equal(t, got, s.hbs[0].Worker)
+	a := core.Attempt{Task: core.TaskID{Job: "long"}, Number: 1}
+	s.hbs[0].Committed = s.hbs[0].Capacity
+	s.hbs[0].Ends = []core.End{{Attempt: a, Kind: core.EndFailed, Reason: "exit status 1", Started: true}}
+	s.heartbeatAll(s.hbs)
+	assert.Equal(t, s.task("long", 0).State, core.TaskWaiting)
+	got, after := s.placedWithin(maxIdle)
+	assert.Assert(t, got != "", "not placed within %s", after)
+}
