core: query agents of idle tasks each second

The first query now follows the lost order at once, and the others each second, without a wait for the answer to the last one. As before, only the agent's answer that the attempt never starts there releases the claim, and no query is sent while the order is on its way.

TestUnansweredLongRunningTaskIsPlacedAgain failed before: placed again after 11.6 s, 4.75 s now, with the order and two queries lost. TestUnansweredQueriesAreSpaced passed before.

--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -58,6 +58,9 @@
 	case ev.Fault == FaultNoAnswer:
 		e.count("start.lost", ReasonCut)
 		e.logEvent("order unanswered", c.attempt.String(), "worker", string(c.holder.Worker), "fault", "cut")
+		if c.longRunning {
+			e.nextClaims = time.Time{} // it may be time for a query
+		}
 	case ev.Fault == FaultNotSent:
 		e.releaseUnstarted(j, c, ReasonCut)
 	case !ev.Started:
@@ -116,14 +119,26 @@
 		e.orderStop(w, c, EndCancelled, "job cancelled")
 	}
 	e.evictStraggler(w, j, c)
-	unreportedFor := e.at.Now.Sub(latest(c.since, c.reportedAt))
-	if c.callInFlight || unreportedFor < e.pol.SettleAfter {
+	if c.callInFlight || e.at.Now.Before(e.nextQuery(c)) {
 		return
 	}
-	c.callInFlight = true
+	c.callInFlight, c.queriedAt = !c.longRunning, e.at.Now
 	e.emit(Settle{Token: e.expect(pendingSettle{c}), Addr: w.heartbeat.Addr, Attempt: c.attempt, Inc: w.inc})
 }
 
+// queryInterval is the time between two queries about a long-running task. It has no run until
+// one of them is answered, so the next one does not wait for the answer to the last one.
+const queryInterval = time.Second
+
+// nextQuery returns when the agent is next queried about an attempt if it does not list it.
+func (e *Entry) nextQuery(c *claim) time.Time {
+	next := latest(c.since, c.reportedAt).Add(e.pol.SettleAfter)
+	if c.longRunning && !c.queriedAt.IsZero() {
+		next = latest(next, c.queriedAt.Add(queryInterval))
+	}
+	return next
+}
+
 // handleSettleAnswered releases the claim of an attempt that the agent does not know.
 func (e *Entry) handleSettleAnswered(ev SettleAnswered) {
 	q, ok := e.takePending(ev.Token).(pendingSettle)
@@ -131,7 +146,9 @@
 		return
 	}
 	c := q.c
-	c.callInFlight, c.since = false, e.at.Now
+	if !c.longRunning {
+		c.callInFlight, c.since = false, e.at.Now
+	}
 	j := e.jobs[c.attempt.Task.Job]
 	if j == nil || j.claims[c.attempt.Task.N] != c || ev.Fault != FaultNone {
 		return
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -43,7 +43,7 @@
 	class   string
 
 	committed    bool      // the table holds it
-	since        time.Time // when it was decided or loaded, or its agent last ordered or queried
+	since        time.Time // when it was decided or loaded, or its agent last ordered or, unless it is long-running, queried
 	startedAt    time.Time // when its agent accepted the start order; zero if this entry did not see it
 	echo         time.Time // for the start order
 	longRunning  bool
@@ -52,7 +52,8 @@
 	reported     bool          // a heartbeat has listed it
 	launched     bool          // a heartbeat has listed it as started by the worker
 	reportedAt   time.Time     // when the last one did
-	callInFlight bool          // a Start or Settle is in flight
+	callInFlight bool          // a Start or Settle is in flight; of a long-running task, a Start
+	queriedAt    time.Time     // when the last Settle was sent; zero if none was
 	stopSent     time.Time
 	releasing    bool // its release is pending
 	throttled    bool // it runs at less than full speed
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -188,3 +189,89 @@
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
+
+// settleHarness is a workerHarness whose agent loses each order and the first queries.
+type settleHarness struct {
+	*workerHarness
+	seen    int
+	lost    int // queries that get no answer
+	queries []time.Time
+	due     []lateAnswer
+}
+
+// lateAnswer is an answer of the agent that comes at a time.
+type lateAnswer struct {
+	at time.Time
+	ev core.EntryEvent
+}
+
+// advance delivers heartbeats and the answers that are due, and answers new calls.
+func (s *settleHarness) advance() {
+	for ; s.seen < len(s.all); s.seen++ {
+		switch eff := s.all[s.seen].(type) {
+		case core.Start:
+			s.due = append(s.due, lateAnswer{s.now.Add(callTimeout), core.StartAnswered{Token: eff.Token, Fault: core.FaultNoAnswer}})
+		case core.Settle:
+			s.queries = append(s.queries, s.now)
+			ans := lateAnswer{s.now, core.SettleAnswered{Token: eff.Token, State: core.SettleNever}}
+			if len(s.queries) <= s.lost {
+				ans = lateAnswer{s.now.Add(callTimeout), core.SettleAnswered{Token: eff.Token, Fault: core.FaultNoAnswer}}
+			}
+			s.due = append(s.due, ans)
+		}
+	}
+	var later []lateAnswer
+	for _, a := range s.due {
+		if s.now.Before(a.at) {
+			later = append(later, a)
+			continue
+		}
+		s.run(a.ev)
+	}
+	s.due = later
+	s.heartbeatAll()
+}
+
+// callTimeout is how long a call to an agent is waited for, as in package io.
+const callTimeout = 2 * time.Second
+
+// newSettleHarness returns a harness in which this number of queries is lost.
+func newSettleHarness(t *testing.T, lost int) *settleHarness {
+	p := core.DefaultPolicy()
+	p.SettleAfter = 2 * time.Second
+	s := &settleHarness{workerHarness: newWorkerHarness(t, core.WithPolicy(p)), lost: lost}
+	s.worker("a", "api", 0.4)
+	s.worker("b", "api", 0.4)
+	s.heartbeatAll()
+	return s
+}
+
+// The order of a long-running task and two queries about it get no answer: the task must be
+// placed anew in time, and not before its agent has said that it never starts there.
+func TestUnansweredLongRunningTaskIsPlacedAgain(t *testing.T) {
+	s := newSettleHarness(t, 2)
+	_, attempt := s.place(longRunningStep)
+	began := s.now
+	next := core.Attempt{Task: attempt.Task, Number: 2}
+	placed := func() bool {
+		return slices.ContainsFunc(s.notes("task placed"), func(n core.Note) bool { return n.Subject == next.String() })
+	}
+	for !placed() && s.now.Sub(began) < 20*time.Second {
+		s.advance()
+	}
+	t.Logf("placed again after %s, %d queries", s.now.Sub(began), len(s.queries))
+	assert.Assert(t, placed() && s.now.Sub(began) < maxIdle, "placed again after %s", s.now.Sub(began))
+	assert.Assert(t, len(s.queries) > 2, "%d queries", len(s.queries))
+}
+
+// No query gets an answer: the task must not be placed anew, and queries must not flood the
+// agent.
+func TestUnansweredQueriesAreSpaced(t *testing.T) {
+	s := newSettleHarness(t, 1000)
+	s.place(longRunningStep)
+	for began := s.now; s.now.Sub(began) < 20*time.Second; {
+		s.advance()
+	}
+	assert.Equal(t, len(s.notes("task placed")), 1)
+	assert.Assert(t, len(s.queries) >= 4 && len(s.queries) <= 20, "%d queries", len(s.queries))
+}
