core: bound the rest between two scans

The rest is now a second at most.

TestLongRunningTaskIsPlacedBesideHugeQueue failed before: not placed within 6 s beside 200,000 tasks. In the new tests, a change of a worker's load is a heartbeat of its own.

--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -21,6 +21,8 @@
 	freeFailures = 4
 	waitingRest  = 50 * time.Microsecond
 	freeWaiting  = 64
+	// maxRest bounds the rest, in which room that becomes free stays unused.
+	maxRest = time.Second
 )
 
 // scan is one walk through the queue, in which tasks are placed.
@@ -72,7 +74,8 @@
 	if s.cut {
 		return 0
 	}
-	return time.Duration(max(s.failures-freeFailures, 0))*failureRest + time.Duration(max(waiting-freeWaiting, 0))*waitingRest
+	rest := time.Duration(max(s.failures-freeFailures, 0))*failureRest + time.Duration(max(waiting-freeWaiting, 0))*waitingRest
+	return min(rest, maxRest)
 }
 
 // nextScan returns when all queued tasks are considered again.
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -37,12 +37,12 @@
 	s.table.put(s.tb, keyOfJob(id), row)
 }
 
-// task returns the row of a job's task.
-func (s *waitScene) task(id core.JobID, n int) core.TaskRow {
+// task returns the row of a job's first task.
+func (s *waitScene) task(id core.JobID) core.TaskRow {
 	s.tb.Helper()
 	rec, err := core.Decode(keyOfJob(id), s.table.rows[keyOfJob(id)].Value)
 	assert.NilError(s.tb, err)
-	return rec.(core.JobRow).Tasks[n]
+	return rec.(core.JobRow).Tasks[0]
 }
 
 // placedWithin returns the worker on which the task of the job "long" is placed within a time.
@@ -51,7 +51,7 @@
 	for s.now.Sub(began) < d {
 		s.heartbeatAll(s.hbs)
 		s.run(100 * time.Millisecond)
-		if t := s.task("long", 0); t.State == core.TaskClaimed {
+		if t := s.task("long"); t.State == core.TaskClaimed {
 			return t.Holder.Worker, s.now.Sub(began)
 		}
 	}
@@ -78,7 +78,7 @@
 	s.heartbeatAll(s.hbs)
 	s.run(100 * time.Millisecond)
 	for _, w := range workers {
-		assert.Equal(s.tb, s.task(core.JobID(fmt.Sprintf("fails%d-2", w)), 0).State, core.TaskFailed)
+		assert.Equal(s.tb, s.task(core.JobID(fmt.Sprintf("fails%d-2", w))).State, core.TaskFailed)
 	}
 }
 
@@ -93,7 +93,7 @@
 	s.put("long", 0, waitingStep)
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
-	assert.Equal(t, s.task("short", 0).State, core.TaskWaiting)
+	assert.Equal(t, s.task("short").State, core.TaskWaiting)
 }
 
 // One worker is in quarantine: a long-running task must run on the other one while that has
@@ -141,7 +141,7 @@
 	}
 	s.put("long", 9, waitingStep)
 	s.run(time.Second)
-	assert.Equal(t, s.task("long", 0).State, core.TaskWaiting)
+	assert.Equal(t, s.task("long").State, core.TaskWaiting)
 	s.commit(12000)
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
@@ -152,6 +152,7 @@
 	for i := range s.hbs {
 		s.hbs[i].Committed.Millicores, s.hbs[i].LongRunning = millicores, millicores
 	}
+	s.step(50 * time.Millisecond) // an agent sends no two heartbeats at the same time
 	s.heartbeatAll(s.hbs)
 }
 
@@ -168,7 +169,7 @@
 	s.commit(s.hbs[0].Capacity.Millicores)
 	s.put("long", 0, waitingStep)
 	s.run(time.Second)
-	assert.Equal(t, s.task("long", 0).State, core.TaskWaiting)
+	assert.Equal(t, s.task("long").State, core.TaskWaiting)
 	s.commit(12000)
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
@@ -185,7 +186,7 @@
 	s.hbs[0].Committed = s.hbs[0].Capacity
 	s.hbs[0].Ends = []core.End{{Attempt: a, Kind: core.EndFailed, Reason: "exit status 1", Started: true}}
 	s.heartbeatAll(s.hbs)
-	assert.Equal(t, s.task("long", 0).State, core.TaskWaiting)
+	assert.Equal(t, s.task("long").State, core.TaskWaiting)
 	got, after := s.placedWithin(maxIdle)
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
@@ -275,3 +276,20 @@
 	assert.Equal(t, len(s.notes("task placed")), 1)
 	assert.Assert(t, len(s.queries) >= 4 && len(s.queries) <= 20, "%d queries", len(s.queries))
 }
+
+// A great many short tasks wait on a full site: the rest between two scans must not keep a
+// long-running task from the room that becomes free.
+func TestLongRunningTaskIsPlacedBesideHugeQueue(t *testing.T) {
+	s := newWaitScene(t, 2)
+	s.commit(s.hbs[0].Capacity.Millicores)
+	s.put("long", 0, waitingStep)
+	for i := range 200 {
+		st := core.StepSpec{Count: 1000, Size: core.Size{Millicores: 8000, MemoryMB: 1000}}
+		s.put(core.JobID(fmt.Sprintf("beside%03d", i)), 0, st)
+	}
+	s.run(time.Second)
+	assert.Equal(t, s.task("long").State, core.TaskWaiting)
+	s.commit(12000)
+	got, after := s.placedWithin(maxIdle)
+	assert.Assert(t, got != "", "not placed within %s", after)
+}
