core: leave a full worker where others have room

It now takes a worker with room first, and returns to the full one if there is none.

TestHandedBackTaskGoesWhereRoomIs failed before: still ordered to the full worker after 6 s.

--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -86,13 +86,12 @@
 
 // pick chooses the worker for a task: batch tasks are packed densely, urgent ones
 // spread, and urgent tasks may preempt batch tasks. A task whose data is in a rack is
-// placed in that rack if there is room. An overdue task goes where there is room at all.
+// placed in that rack if there is room. An overdue task goes where there is room at all,
+// or waits for it, where it has done so already if it has.
 func (e *Entry) pick(j *jobView, q queuedTask) (WorkerID, bool) {
 	st := j.row.Spec.Step(q.task.N)
 	need := e.need(j, q, st)
-	if w := e.workers[j.takeAwaited(q.task.N)]; st.LongRunning && w != nil && e.canAwait(w, need) && !e.mayLeaveForQuarantine(q, need) {
-		return w.id, true
-	}
+	awaited := e.workers[j.takeAwaited(q.task.N)]
 	if j.isSuspect(q.task.N) {
 		reliable := need
 		reliable.Exclude = append(slices.Clone(need.Exclude), e.lessReliable()...)
@@ -110,6 +109,9 @@
 	if id, ok := e.pickOne(need, j, q, st); ok || !e.isOverdue(j, q) {
 		return id, ok
 	}
+	if awaited != nil && e.canAwait(awaited, need) && !e.mayLeaveForQuarantine(q, need) {
+		return awaited.id, true
+	}
 	return e.pickOverdue(need, j, q, st)
 }
 
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -45,17 +45,17 @@
 	return rec.(core.JobRow).Tasks[0]
 }
 
-// placedWithin returns the worker on which the task of the job "long" is placed within a time.
-func (s *waitScene) placedWithin(d time.Duration) (core.WorkerID, time.Duration) {
+// awaitPlacement returns the worker on which the task of the job "long" is placed within maxIdle.
+func (s *waitScene) awaitPlacement() (core.WorkerID, time.Duration) {
 	began := s.now
-	for s.now.Sub(began) < d {
+	for s.now.Sub(began) < maxIdle {
 		s.heartbeatAll(s.hbs)
 		s.run(100 * time.Millisecond)
 		if t := s.task("long"); t.State == core.TaskClaimed {
 			return t.Holder.Worker, s.now.Sub(began)
 		}
 	}
-	return "", d
+	return "", maxIdle
 }
 
 // quarantine makes a task of each of three jobs fail on each of the workers.
@@ -91,7 +91,7 @@
 	s.quarantine(0, 1)
 	s.put("short", 0, core.StepSpec{Count: 1, Size: core.Size{Millicores: 2000, MemoryMB: 1000}})
 	s.put("long", 0, waitingStep)
-	got, after := s.placedWithin(maxIdle)
+	got, after := s.awaitPlacement()
 	assert.Assert(t, got != "", "not placed within %s", after)
 	assert.Equal(t, s.task("short").State, core.TaskWaiting)
 }
@@ -102,7 +102,7 @@
 	s := newWaitScene(t, 2)
 	s.quarantine(0)
 	s.put("long", 0, waitingStep)
-	got, _ := s.placedWithin(maxIdle)
+	got, _ := s.awaitPlacement()
 	assert.Equal(t, got, s.hbs[1].Worker)
 }
 
@@ -114,20 +114,12 @@
 	s.hbs[1].Committed = s.hbs[1].Capacity
 	s.put("long", 0, waitingStep)
 	began := s.now
-	got, _ := s.placedWithin(maxIdle)
+	got, _ := s.awaitPlacement()
 	for number := uint32(1); got == s.hbs[1].Worker && s.now.Sub(began) < maxIdle; number++ {
-		a := core.Attempt{Task: core.TaskID{Job: "long"}, Number: number}
-		s.hbs[1].Running, s.hbs[1].Launching = []core.Attempt{a}, []core.Attempt{a}
-		for range 20 { // it waits there for room
-			s.heartbeatAll(s.hbs)
-			s.run(100 * time.Millisecond)
-		}
-		s.hbs[1].Running, s.hbs[1].Launching = nil, nil
-		s.hbs[1].Ends = append(s.hbs[1].Ends, core.End{Attempt: a, Kind: core.EndEvicted, Reason: "no room within its permit"})
-		s.heartbeatAll(s.hbs)
-		got, _ = s.placedWithin(maxIdle - s.now.Sub(began))
+		got = s.handBack(1, core.Attempt{Task: core.TaskID{Job: "long"}, Number: number})
 	}
 	assert.Equal(t, got, s.hbs[0].Worker, "not placed within %s", maxIdle)
+	assert.Assert(t, s.now.Sub(began) < maxIdle, "placed after %s", s.now.Sub(began))
 }
 
 // More steps of short tasks than one scan tries find no room, and rank before a long-running
@@ -143,7 +135,7 @@
 	s.run(time.Second)
 	assert.Equal(t, s.task("long").State, core.TaskWaiting)
 	s.commit(12000)
-	got, after := s.placedWithin(maxIdle)
+	got, after := s.awaitPlacement()
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
 
@@ -171,7 +163,7 @@
 	s.run(time.Second)
 	assert.Equal(t, s.task("long").State, core.TaskWaiting)
 	s.commit(12000)
-	got, after := s.placedWithin(maxIdle)
+	got, after := s.awaitPlacement()
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
 
@@ -180,14 +172,14 @@
 func TestFailedLongRunningTaskAwaitsOnlyRoom(t *testing.T) {
 	s := newWaitScene(t, 1)
 	s.put("long", 0, waitingStep)
-	got, _ := s.placedWithin(maxIdle)
+	got, _ := s.awaitPlacement()
 	assert.Equal(t, got, s.hbs[0].Worker)
 	a := core.Attempt{Task: core.TaskID{Job: "long"}, Number: 1}
 	s.hbs[0].Committed = s.hbs[0].Capacity
 	s.hbs[0].Ends = []core.End{{Attempt: a, Kind: core.EndFailed, Reason: "exit status 1", Started: true}}
 	s.heartbeatAll(s.hbs)
 	assert.Equal(t, s.task("long").State, core.TaskWaiting)
-	got, after := s.placedWithin(maxIdle)
+	got, after := s.awaitPlacement()
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
 
@@ -290,6 +282,47 @@
 	s.run(time.Second)
 	assert.Equal(t, s.task("long").State, core.TaskWaiting)
 	s.commit(12000)
-	got, after := s.placedWithin(maxIdle)
+	got, after := s.awaitPlacement()
 	assert.Assert(t, got != "", "not placed within %s", after)
 }
+
+// A long-running task waits for room on a full worker and is handed back, over and over: it must
+// go to another worker as soon as that has room.
+func TestHandedBackTaskGoesWhereRoomIs(t *testing.T) {
+	s := newWaitScene(t, 2)
+	for i := range s.hbs {
+		s.hbs[i].Committed = s.hbs[i].Capacity
+	}
+	s.step(50 * time.Millisecond)
+	s.heartbeatAll(s.hbs)
+	s.put("long", 0, waitingStep)
+	first, _ := s.awaitPlacement()
+	assert.Assert(t, first != "", "waits nowhere")
+	full, other := 0, 1
+	if first == s.hbs[1].Worker {
+		full, other = 1, 0
+	}
+	s.hbs[other].Committed = core.Size{}
+	began, got := s.now, first
+	for number := uint32(1); got == first && s.now.Sub(began) < maxIdle; number++ {
+		got = s.handBack(full, core.Attempt{Task: core.TaskID{Job: "long"}, Number: number})
+	}
+	assert.Equal(t, got, s.hbs[other].Worker, "still waits for room on %s", first)
+	assert.Assert(t, s.now.Sub(began) < maxIdle, "placed after %s", s.now.Sub(began))
+}
+
+// handBack makes a worker hold an attempt for 2 s and hand it back, and returns where the next
+// one is placed.
+func (s *waitScene) handBack(worker int, a core.Attempt) core.WorkerID {
+	hb := &s.hbs[worker]
+	hb.Running, hb.Launching = []core.Attempt{a}, []core.Attempt{a}
+	for range 20 {
+		s.heartbeatAll(s.hbs)
+		s.run(100 * time.Millisecond)
+	}
+	hb.Running, hb.Launching = nil, nil
+	hb.Ends = append(hb.Ends, core.End{Attempt: a, Kind: core.EndEvicted, Reason: "no room within its permit"})
+	s.heartbeatAll(s.hbs)
+	got, _ := s.awaitPlacement()
+	return got
+}
