--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -20,6 +20,7 @@
 	unsorted  bool
 	sortedAt  time.Time        // when the ranks were last updated
 	number    uint64           // of tasks ever added
+	scans     uint64           // number of scans so far
 	blocked   bool             // no room was found, and nothing has changed since
 	retryAt   time.Time        // when placement is tried again while blocked
 	restUntil time.Time        // no scan begins before
@@ -68,6 +69,7 @@
 	number      uint64    // order of arrival
 	since       time.Time // when it was queued
 	idleSince   time.Time // of a long-running task: since when it has not run
+	searchedIn  uint64    // number of the last scan in which no room was found for it
 }
 
 // newQueuedTask returns the queue entry of a job's task.
@@ -156,9 +158,10 @@
 	}
 }
 
-// compareIdle orders tasks by how long they have not run, longest first.
+// compareIdle orders long-running tasks by the scan that considered them last, so that each is
+// considered in turn, and then by how long they have not run, longest first.
 func (w queuedTask) compareIdle(o queuedTask) int {
-	return cmp.Or(w.idleSince.Compare(o.idleSince), cmp.Compare(w.number, o.number))
+	return cmp.Or(cmp.Compare(w.searchedIn, o.searchedIn), w.idleSince.Compare(o.idleSince), cmp.Compare(w.number, o.number))
 }
 
 // compare orders tasks by rank, then by arrival.
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -65,6 +65,7 @@
 		e.placeAdded()
 		return
 	}
+	q.scans++
 	q.mergeAdded()
 	e.sortQueue()
 	s := newScan(nil)
@@ -141,9 +142,17 @@
 			left = append(left, ts[i:]...)
 			break
 		}
-		if e.queue.has[w.task] && !e.place(s, w) {
-			left = append(left, w)
+		if !e.queue.has[w.task] {
+			continue
 		}
+		before := s.searches
+		if e.place(s, w) {
+			continue
+		}
+		if s.searches > before {
+			w.searchedIn = e.queue.scans
+		}
+		left = append(left, w)
 	}
 	return left
 }
