core: run tests of simulated Worlds in parallel

Cause: tests that simulate a World ran one after the other, each on one core, and those with parallel subtests waited for their slowest one before the next began.

Change: these tests are parallel, and loops over seeds are a subtest for each seed (eachSeed). Seeds, bounds and checks are the same. A failing seed no longer keeps the seeds after it from running.

--- a/core/budget_test.go
+++ b/core/budget_test.go
@@ -20,6 +20,7 @@
 // thousand short tasks: under load, right after an outage, and after all entries were
 // killed at once.
 func TestStoreBudget(t *testing.T) {
+	t.Parallel()
 	w := fake.New(1, fake.Entries(3), fake.Workers(33, 3),
 		fake.Work(func(core.TaskID) time.Duration { return time.Second }))
 	w.Run(5 * time.Second)
--- a/core/busyentry_test.go
+++ b/core/busyentry_test.go
@@ -52,7 +52,7 @@
 // Jobs of short tasks come to a site whose entries are short of processor time, some more
 // than the site has room for. Long-running tasks that end must run again nonetheless.
 func TestLongRunningTasksRunAgainOnBusyEntries(t *testing.T) {
-	for seed := range uint64(2) {
+	eachSeed(t, 2, func(t *testing.T, seed uint64) {
 		x := &idleTimes{endedAt: map[string]time.Time{}}
 		w := homeWorld(seed, 9, 50, 9, busyWork, fake.Trace(x.trace), smallEntries(),
 			fake.Capacity(core.Size{Millicores: 32000, MemoryMB: 128000}, 8))
@@ -72,5 +72,5 @@
 			seed, idle, w.Counts()["end done"], w.Counts()["restart room"], w.Counts()["conflict store"])
 		assert.Assert(t, idle > 0, "no task has ended")
 		assert.Assert(t, idle < maxIdle, "seed %d: a task had no run for %s", seed, idle)
-	}
+	})
 }
--- a/core/count_mutant_test.go
+++ b/core/count_mutant_test.go
@@ -261,6 +261,7 @@
 
 // Without a fault, no count may be refused with the intervals that are deployed.
 func TestPendingCountIsNotRefusedWithoutFault(t *testing.T) {
+	t.Parallel()
 	w := fake.New(1, fake.Entries(9), fake.Workers(3, 3), fake.CoreOptions(core.WithPolicy(deployedPolicy())))
 	w.Run(20 * time.Second)
 	w.Do(fake.Read{Of: fake.ReadCounts, Every: 100 * time.Millisecond, For: time.Minute})
--- a/core/count_world_test.go
+++ b/core/count_world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"strconv"
 	"testing"
 	"time"
 
@@ -76,16 +75,13 @@
 // checkSeeds reports what the oracle found in the runs of some seeds.
 func checkSeeds(t *testing.T, seeds int, run func(seed uint64) *fake.World) {
 	t.Helper()
-	for seed := range seeds {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			t.Parallel()
-			w := run(uint64(seed))
-			for _, v := range w.Violations() {
-				t.Error(v)
-			}
-			t.Log(w.Oracle().Reads())
-		})
-	}
+	eachSeed(t, seeds, func(t *testing.T, seed uint64) {
+		w := run(seed)
+		for _, v := range w.Violations() {
+			t.Error(v)
+		}
+		t.Log(w.Oracle().Reads())
+	})
 }
 
 // checkWaiting checks counts of jobs that have to wait while the faults happen.
@@ -210,6 +206,7 @@
 // checkMoments checks reads of a kind at each of the moments.
 func checkMoments(t *testing.T, kind fake.ReadKind) {
 	t.Helper()
+	t.Parallel()
 	seeds := (*readSeeds + 2) / 3
 	for name, faults := range moments {
 		if testing.Short() && name != "takeover" {
--- a/core/crash_test.go
+++ b/core/crash_test.go
@@ -39,19 +39,19 @@
 
 // A task that crashes each worker that starts it was placed again for ever.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
-	for seed := range uint64(20) {
+	eachSeed(t, 20, func(t *testing.T, seed uint64) {
 		w := crashWorld(seed)
 		crashLoad(w)
 		w.Settle(time.Minute)
 		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
 		assert.Equal(t, w.Oracle().WronglyGivenUp(), 0, "seed %d", seed)
-	}
+	})
 }
 
 // A task that had crashed its worker was placed again beside others, with its former
 // neighbours among them: each of its crashes cost the work of a whole worker.
 func TestSecondCrashCostsNoNeighbours(t *testing.T) {
-	for seed := range uint64(20) {
+	eachSeed(t, 20, func(t *testing.T, seed uint64) {
 		w := crashWorld(seed)
 		crashLoad(w)
 		w.Settle(time.Minute)
@@ -62,13 +62,13 @@
 		for _, c := range crashes[1:] {
 			assert.Equal(t, c.Neighbours, 0, "seed %d: %v", seed, crashes)
 		}
-	}
+	})
 }
 
 // Workers that crash for other causes, again and again, must not make an entry give up the
 // tasks that were there.
 func TestTasksOutliveCrashesOfOtherCauses(t *testing.T) {
-	for seed := range uint64(20) {
+	eachSeed(t, 20, func(t *testing.T, seed uint64) {
 		w := crashWorld(seed)
 		w.Run(5 * time.Second)
 		size := core.Size{Millicores: 400, MemoryMB: 400}
@@ -82,7 +82,7 @@
 		w.Settle(time.Minute)
 		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
 		assert.Equal(t, w.Oracle().WronglyGivenUp(), 0, "seed %d", seed)
-	}
+	})
 }
 
 // withCrashes returns the script with jobs that crash workers, workers that crash for other
--- a/core/fuzz_reads_test.go
+++ b/core/fuzz_reads_test.go
@@ -67,6 +67,7 @@
 // in which entries are asked about jobs. It prints a reduced script for a failing one if
 // it is verbose.
 func TestFuzzReads(t *testing.T) {
+	t.Parallel()
 	count := (*seedCount + 2) / 3
 	if testing.Short() {
 		count = min(count, 4)
@@ -96,6 +97,7 @@
 // An attempt that its agent gives up for want of room before the worker has started it
 // counts as evicted, and its job no longer as waiting.
 func TestPendingCountOfTaskEvictedBeforeStart(t *testing.T) {
+	t.Parallel()
 	checkScript(t, script{Seed: 10740, Entries: 2, Workers: 6, Actions: []fake.Action{
 		fake.Read{Of: fake.ReadCounts, Every: 500 * time.Millisecond, For: time.Hour},
 		fake.Submit{Entry: 2, Tasks: 8, Size: core.Size{Millicores: 900, MemoryMB: 500}},
@@ -111,6 +113,7 @@
 // A job of another entry's shard is withdrawn at its caller's deadline and submitted
 // again: the entry must not lose sight of it, and conflict with its row for ever.
 func TestResubmissionAfterWithdrawal(t *testing.T) {
+	t.Parallel()
 	checkScript(t, script{Seed: 0, Entries: 3, Workers: 6, Actions: []fake.Action{
 		fake.Enqueue{Entry: 0, Jobs: 1, Tasks: 1, Size: fullJob, Over: 5 * time.Millisecond},
 		fake.Enqueue{Entry: 1, Jobs: 5, Tasks: 2, Size: fullJob, Over: 31 * time.Millisecond},
@@ -123,6 +126,7 @@
 // A list that is read shard after shard for over 5 s lacks the jobs that came to the
 // shards that were read first.
 func TestListReadSlowly(t *testing.T) {
+	t.Parallel()
 	checkScript(t, script{Seed: 7231, Entries: 1, Workers: 3, Actions: []fake.Action{
 		fake.Read{Of: fake.ReadLists, Every: 4 * time.Second, For: time.Hour},
 		fake.Enqueue{Entry: 1, Jobs: 5, Tasks: 3, Size: fullJob, Over: 12 * time.Millisecond},
--- a/core/fuzz_test.go
+++ b/core/fuzz_test.go
@@ -103,6 +103,7 @@
 
 // TestFuzz checks random scripts with the oracle.
 func TestFuzz(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := scripts.Draw(t, "script")
 		if found := s.run(); len(found) > 0 {
@@ -120,6 +121,7 @@
 // TestSeeds checks one script for each seed, several in parallel, and prints a reduced
 // script for a failing one. TestMutants uses the same scripts.
 func TestSeeds(t *testing.T) {
+	t.Parallel()
 	count := *seedCount
 	if testing.Short() {
 		count = min(count, 10)
@@ -149,6 +151,19 @@
 	return s
 }
 
+// eachSeed runs a test for each of some seeds, in a subtest of its own. They run in parallel with
+// each other and with other tests: a World shares no state with another one.
+func eachSeed(t *testing.T, seeds int, test func(t *testing.T, seed uint64)) {
+	t.Helper()
+	t.Parallel()
+	for seed := range uint64(seeds) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			test(t, seed)
+		})
+	}
+}
+
 // shortSeeds is the number of seeds of a short test.
 const shortSeeds = 10
 
@@ -156,6 +171,7 @@
 // prints a reduced script for a failing one.
 func checkVariant(t *testing.T, variant func(script) script, opts ...fake.Option) {
 	t.Helper()
+	t.Parallel()
 	count := *seedCount
 	if testing.Short() {
 		count = min(count, shortSeeds)
@@ -178,6 +194,7 @@
 // TestMutantOfSteps checks that the same scripts detect steps that don't wait for the
 // steps before them.
 func TestMutantOfSteps(t *testing.T) {
+	t.Parallel()
 	for seed := range 50 {
 		s := scripts.Example(seed).withSteps()
 		if len(s.run(fake.CoreOptions(core.DisableGuard("steps")))) > 0 && len(s.run()) == 0 {
@@ -189,6 +206,7 @@
 
 // TestDeterminism checks that two runs of one script have the same events and effects.
 func TestDeterminism(t *testing.T) {
+	t.Parallel()
 	for seed := range 5 {
 		s := scripts.Example(seed)
 		assert.Equal(t, trace(s), trace(s))
@@ -210,6 +228,7 @@
 	if testing.Short() {
 		t.Skip("slow under the race detector, which has nothing to detect in one goroutine")
 	}
+	t.Parallel()
 	const seeds = 600
 	for _, name := range core.Guards {
 		t.Run(name, func(t *testing.T) {
--- a/core/home_test.go
+++ b/core/home_test.go
@@ -40,6 +40,7 @@
 // The heartbeats that an agent sends must not grow with the number of entries, and an
 // entry that is no home must receive none.
 func TestHeartbeatsGoToHomesOnly(t *testing.T) {
+	t.Parallel()
 	total := func(entries int) int {
 		n := map[string]int{}
 		w := homeWorld(1, entries, 12, 3, heartbeats(n))
@@ -61,7 +62,7 @@
 // Both homes die at once. Their shards must be taken over without fencing workers whose
 // agents are still looking for the new homes, and each job must end.
 func TestHomesAreReplacedWithoutFences(t *testing.T) {
-	for seed := range uint64(5) {
+	eachSeed(t, 5, func(t *testing.T, seed uint64) {
 		long := fake.Work(func(core.TaskID) time.Duration { return 40 * time.Second })
 		w := homeWorld(seed, 6, 9, 2, long)
 		w.Run(5 * time.Second)
@@ -77,11 +78,12 @@
 		assert.Equal(t, w.Counts()["fence cut"], 0, "seed %d", seed)
 		w.Settle(settleTimeout)
 		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
-	}
+	})
 }
 
 // A worker that dies right after its homes must be fenced by the new ones.
 func TestNewHomesFenceDeadWorkers(t *testing.T) {
+	t.Parallel()
 	long := fake.Work(func(core.TaskID) time.Duration { return 40 * time.Second })
 	w := homeWorld(3, 6, 9, 2, long)
 	w.Run(5 * time.Second)
@@ -155,6 +157,7 @@
 // moment old. If each prefers workers of its own, agents must refuse less than half as many
 // orders for want of room as with the policy before, where all homes chose alike.
 func TestHomesPreferWorkersOfTheirOwn(t *testing.T) {
+	t.Parallel()
 	refused := func(share bool) (n int) {
 		for seed := range uint64(4) {
 			p := homePolicy(5)
--- a/core/late_test.go
+++ b/core/late_test.go
@@ -567,46 +567,38 @@
 // its worker runs it, will start it, or has it done: a call without an answer may take effect
 // seconds later.
 func TestLateCallsRunNothingTwice(t *testing.T) {
-	for seed := range uint64(150) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { newLateSite(seed).check(t) })
-	}
+	eachSeed(t, 150, func(t *testing.T, seed uint64) { newLateSite(seed).check(t) })
 }
 
 // TestLateCallsAfterRestartUnderSameID is TestLateCallsRunNothingTwice with late calls that
 // reach the worker after it has restarted under the id that it had, as if they were meant for
 // its new incarnation.
 func TestLateCallsAfterRestartUnderSameID(t *testing.T) {
-	for seed := range uint64(150) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newLateSite(seed)
-			s.sameID = true
-			s.check(t)
-		})
-	}
+	eachSeed(t, 150, func(t *testing.T, seed uint64) {
+		s := newLateSite(seed)
+		s.sameID = true
+		s.check(t)
+	})
 }
 
 // TestLateCallsAfterAgentIsGone guards against a task that is placed elsewhere while the worker
 // of an agent that is gone runs it on: calls may have extended its lease late.
 func TestLateCallsAfterAgentIsGone(t *testing.T) {
-	for seed := range uint64(150) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newLateSite(seed)
-			s.after(s.between(lateFrom+3*time.Second, lateFaultsFor-3*time.Second), s.loseAgent)
-			s.check(t)
-		})
-	}
+	eachSeed(t, 150, func(t *testing.T, seed uint64) {
+		s := newLateSite(seed)
+		s.after(s.between(lateFrom+3*time.Second, lateFaultsFor-3*time.Second), s.loseAgent)
+		s.check(t)
+	})
 }
 
 // TestLateCallsBeginAsAgentIsGone is TestLateCallsAfterAgentIsGone with an agent that is gone
 // before it can report that calls get no answer.
 func TestLateCallsBeginAsAgentIsGone(t *testing.T) {
-	for seed := range uint64(150) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newLateSite(seed)
-			s.after(s.between(lateFrom, lateFrom+2*time.Second), s.loseAgent)
-			s.check(t)
-		})
-	}
+	eachSeed(t, 150, func(t *testing.T, seed uint64) {
+		s := newLateSite(seed)
+		s.after(s.between(lateFrom, lateFrom+2*time.Second), s.loseAgent)
+		s.check(t)
+	})
 }
 
 // check plays the day and reports what must not happen.
--- a/core/lines_test.go
+++ b/core/lines_test.go
@@ -66,6 +66,7 @@
 // TestDecisionsAreLogged simulates random runs and requires a log line for each
 // refusal, stop and start.
 func TestDecisionsAreLogged(t *testing.T) {
+	t.Parallel()
 	runs := 8
 	if testing.Short() {
 		runs = 2
--- a/core/longrun_test.go
+++ b/core/longrun_test.go
@@ -152,7 +152,7 @@
 // A drain evicts long-running tasks while several homes place short tasks that take each bit
 // of free capacity. The long-running ones must not lose all races for it.
 func TestEvictedLongRunningTasksRunAgain(t *testing.T) {
-	for seed := range uint64(2) {
+	eachSeed(t, 2, func(t *testing.T, seed uint64) {
 		x := &idleTimes{endedAt: map[string]time.Time{}}
 		w := homeWorld(seed, 9, 40, 5, workBesideLongRunning, fake.Trace(x.trace))
 		w.Run(5 * time.Second)
@@ -172,12 +172,13 @@
 			seed, idle, w.Counts()["end done"], w.Counts()["restart room"])
 		assert.Assert(t, idle > 0, "no task was evicted")
 		assert.Assert(t, idle < maxIdle, "seed %d: a task had no run for %s", seed, idle)
-	}
+	})
 }
 
 // Long-running tasks wait for room while workers crash, shrink, pause and restart: no start
 // may bring a worker over its capacity, and no task may run twice.
 func TestWaitsForRoomAreSafeUnderFaults(t *testing.T) {
+	t.Parallel()
 	waits := 0
 	count := fake.Trace(func(_ time.Time, _, what string) {
 		if strings.Contains(what, "start awaits room") {
--- a/core/orphan_test.go
+++ b/core/orphan_test.go
@@ -15,6 +15,7 @@
 // behind. The other homes must not all read and write these jobs in its place: that slows
 // down the whole site, and makes the owner's transactions conflict once it goes on.
 func TestOneHomeRecordsEndsOfASlowOwner(t *testing.T) {
+	t.Parallel()
 	const jobs, tasks = 60, 8
 	reads := 0
 	count := fake.Trace(func(_ time.Time, _, what string) {
--- a/core/regress_test.go
+++ b/core/regress_test.go
@@ -12,6 +12,7 @@
 
 // TestRegress replays minimized scripts in which the oracle once found a violation.
 func TestRegress(t *testing.T) {
+	t.Parallel()
 	small := core.Size{Millicores: 900, MemoryMB: 500}
 	tests := []struct {
 		name string
--- a/core/resize_test.go
+++ b/core/resize_test.go
@@ -13,7 +13,7 @@
 // Workers whose capacity shrinks and grows must get no start beyond it, and every job must
 // end.
 func TestCapacityThatShrinksAndGrows(t *testing.T) {
-	for seed := range uint64(20) {
+	eachSeed(t, 20, func(t *testing.T, seed uint64) {
 		w := fake.New(seed, fake.Workers(6, 3), fake.Work(func(core.TaskID) time.Duration { return 2 * time.Second }))
 		w.Run(5 * time.Second)
 		for i := range 60 {
@@ -23,7 +23,7 @@
 		}
 		w.Settle(time.Minute)
 		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
-	}
+	})
 }
 
 // All workers shrink for a while. A job that fits them at their full size must wait and not
