fake: let each shrink of a worker count for the grace

The check that no start brings a worker over its capacity lets a start rest for 2 s on the capacity before a shrink, but remembered the last shrink only.

--- a/fake/worker.go
+++ b/fake/worker.go
@@ -21,8 +21,24 @@
 	unwell   bool                   // its interface doesn't answer
 	launches int
 	capacity core.Size // as reported; zero for that of the World
-	shrunkAt time.Time // when it last shrank
-	before   core.Size // capacity before that
+	shrinks  []shrink  // of the capacity
+}
+
+// shrink is a change of a worker's capacity to a smaller one.
+type shrink struct {
+	at     time.Time
+	before core.Size
+}
+
+// largestSince returns the largest capacity that the worker has reported since a time.
+func (k *worker) largestSince(t time.Time) core.Size {
+	size := k.size()
+	for _, s := range k.shrinks {
+		if s.at.After(t) {
+			size = size.Max(s.before)
+		}
+	}
+	return size
 }
 
 // size returns the capacity that the worker reports.
@@ -36,7 +52,7 @@
 // resize changes the capacity that the worker reports.
 func (k *worker) resize(s core.Size) {
 	if old := k.size(); !old.Fits(s) {
-		k.before, k.shrunkAt = old, k.w.now
+		k.shrinks = append(k.shrinks, shrink{at: k.w.now, before: old})
 	}
 	k.capacity = s
 }
