core: keep jobs within the bytes of a row, and split rejected transactions

Cause: all states of a job's tasks are in one row, each claim added some 85 bytes and nothing took them out. Beyond row_bytes the store answers 400. The adapter took that for "not sent", like 503, and the entry resent the same transaction, with the jobs of other callers in it, for good. No code and no stand-in of the project knew the limit of a row. Ruled out: the entries and bytes of a call, which were kept; the placement of the job.

Change: a fault of its own, rejected, beside not sent and no answer: such a call is never sent again unchanged. A rejected transaction is split into one a job; a new job that is rejected alone is refused, a stored one waits by itself. Rows have a limit (bytes): jobs are accepted only if their ends and one claim fit, claims are made only while there is room, and large rows do without details. The same for the rows of entries, commands and interference.

--- a/config/policy.go
+++ b/config/policy.go
@@ -65,6 +65,7 @@
 		{"rows", Count, 1, 1000, func(p *core.Policy) any { return &p.TxnRows }},
 		{"clauses", Count, 10, 10_000, func(p *core.Policy) any { return &p.TxnEntries }},
 		{"kilobytes", Count, 64, 65_536, func(p *core.Policy) any { return &p.TxnKilobytes }},
+		{"bytes", Count, 1024, 1e9, func(p *core.Policy) any { return &p.RowBytes }},
 		{"ramp", Seconds, 0, 10 * minute, func(p *core.Policy) any { return &p.RampUpTime }},
 	}
 }
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +22,16 @@
 	writes       int // number of rows written
 	bytesRead    int // size of the values read
 	bytesWritten int // size of the keys and values written
+	// rowBytes and txnEntries bound what one transaction holds; zero for no limit.
+	rowBytes, txnEntries int
+	rejected             int // number of transactions that exceed a limit
+}
+
+// rejects reports whether the table refuses a transaction for what it holds.
+func (b *benchTable) rejects(txn table.Txn) bool {
+	tooLarge := func(w table.Write) bool { return b.rowBytes > 0 && len(w.Value) > b.rowBytes }
+	over := b.txnEntries > 0 && len(txn.Conds)+len(txn.Writes) > b.txnEntries
+	return over || slices.ContainsFunc(txn.Writes, tooLarge)
 }
 
 func (b *benchTable) put(tb testing.TB, key string, rec core.Record) {
@@ -73,6 +84,10 @@
 	delay   time.Duration  // commit latency of the table
 	delayed []delayedEvent // ordered by time
 	result  func(core.CommandResult)
+
+	orders   []core.Order // to start attempts
+	replies  []core.JobAnswer
+	recorded []core.Attempt // whose ends were acknowledged to agents
 }
 
 // delayedEvent is an event that is delivered at a given time.
@@ -108,7 +123,13 @@
 			case core.ReadChanges:
 				evs = append(evs, core.ChangesAnswered{Token: eff.Token, View: b.table.changes(eff.Prefix, eff.Since)})
 			case core.Commit:
-				ans := core.CommitAnswered{Token: eff.Token, Result: b.table.apply(eff.Txn)}
+				ans := core.CommitAnswered{Token: eff.Token}
+				if b.table.rejects(eff.Txn) {
+					b.table.rejected++
+					ans.Fault = core.FaultRejected
+				} else {
+					ans.Result = b.table.apply(eff.Txn)
+				}
 				if b.delay > 0 {
 					b.delayed = append(b.delayed, delayedEvent{b.now.Add(b.delay), ans})
 				} else {
@@ -116,8 +137,13 @@
 				}
 			case core.CommandReply:
 				b.result(eff.Result)
+			case core.JobReply:
+				b.replies = append(b.replies, eff.Answer)
+			case core.BeatReply:
+				b.recorded = append(b.recorded, eff.Answer.Recorded...)
 			case core.Start:
 				b.starts++
+				b.orders = append(b.orders, eff.Order)
 				evs = append(evs, core.StartAnswered{Token: eff.Token, Started: true})
 			}
 		}
--- a/core/edit.go
+++ b/core/edit.go
@@ -76,6 +76,7 @@
 	for i := range r.Tasks {
 		if t := &r.Tasks[i]; t.State == TaskWaiting {
 			t.State = TaskCancelled
+			t.release()
 		}
 	}
 	return editApplied
@@ -114,7 +115,7 @@
 	} else if t.Attempt < number {
 		return editVoid
 	}
-	t.Reason = ed.end.Reason
+	t.Reason = clipReason(ed.end.Reason)
 	if ed.end.Kind == EndCrashed {
 		t.recordCrash(ed)
 	}
@@ -127,6 +128,7 @@
 		t.Output = ed.end.Output
 	}
 	ed.giveUp(r, t)
+	t.release()
 	return editApplied
 }
 
@@ -161,8 +163,9 @@
 // the completion of a task that has not been started again, still count.
 func (ed endEdit) applyLate(r *JobRow, t *TaskRow) editResult {
 	if r.lacksCompletion(ed.end) {
-		t.State, t.Reason, t.Output = TaskDone, ed.end.Reason, ed.end.Output
+		t.State, t.Reason, t.Output = TaskDone, clipReason(ed.end.Reason), ed.end.Output
 		r.Started = true
+		t.release()
 		return editApplied
 	}
 	if !t.lacksCrash(ed.end) {
@@ -178,7 +181,7 @@
 func (ed endEdit) giveUp(r *JobRow, t *TaskRow) {
 	if t.State == TaskWaiting && t.Crashes.Verdict() == crash.GiveUp {
 		t.State = TaskFailed
-		t.Reason = t.crashReason()
+		t.Reason = clipReason(t.crashReason())
 	}
 	if t.State == TaskFailed && len(r.Spec.Steps) > 0 {
 		r.Cancel = true
@@ -272,6 +275,7 @@
 		return editRedundant
 	}
 	t.State = TaskCancelled
+	t.release()
 	return editApplied
 }
 
--- a/core/entry.go
+++ b/core/entry.go
@@ -32,6 +32,7 @@
 	reads     *limit.Rate
 
 	workers       map[WorkerID]*workerView
+	holderBytes   int        // of the longest ids of a worker and its incarnation
 	runningTasks  int        // on all workers, by their last heartbeats
 	sortedWorkers []WorkerID // the keys of workers, sorted
 	index         place.Index
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -93,6 +94,14 @@
 		e.answerJobRequest(jr, e.answerCount(q.Name))
 		return false
 	}
+	if len(rest) > maxJobIDBytes {
+		ans := JobAnswer{Outcome: JobNotFound}
+		if jr.Verb == JobSubmit {
+			ans = JobAnswer{Outcome: JobInvalid, Reason: ReasonInvalid, Text: fmt.Sprintf("the job's id has more than %d bytes", maxJobIDBytes)}
+		}
+		e.answerJobRequest(jr, ans)
+		return false
+	}
 	s := &jr.Spec
 	s.ID, s.Class = JobID(rest), q.Name
 	s.Queue, s.Service, s.Priority, s.Attempts = q.Name, q.Service, q.Priority, q.Attempts
@@ -168,7 +177,14 @@
 			e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: reason, RetryAfter: e.submissionRetryAfter(reason)})
 			return
 		}
-		j = e.newJob(JobRow{Spec: jr.Spec, Tasks: make([]TaskRow, jr.Spec.Len()), Accepted: e.at.Now})
+		row := JobRow{Spec: jr.Spec, Tasks: make([]TaskRow, jr.Spec.Len()), Accepted: e.at.Now}
+		bytes, text := e.checkRowSize(&row)
+		if text != "" {
+			e.answerJobRequest(jr, JobAnswer{Outcome: JobInvalid, Reason: ReasonInvalid, Text: text})
+			return
+		}
+		j = e.newJob(row)
+		j.rowBytes = bytes
 		e.logEvent("job taken", string(jr.Spec.ID), "queue", jr.Spec.Queue, "tasks", jr.Spec.Len(),
 			"chain", jr.Spec.criticalPath().String(), "due", j.row.Deadline().Sub(e.at.Now).String())
 		e.addEdit(j, createEdit{})
@@ -293,6 +309,8 @@
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, State: j.row.State(), Text: j.row.failure()})
 	case j.row.Cancel || !j.row.Ended.IsZero():
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted})
+	case j.isRejected(e.at.Now):
+		e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: ReasonRejected, RetryAfter: j.rejectedUntil.Sub(e.at.Now)})
 	default:
 		j.waiters = append(j.waiters, jr)
 		e.addEdit(j, cancelJobEdit{})
--- a/core/entrybeat.go
+++ b/core/entrybeat.go
@@ -298,6 +298,7 @@
 		e.index.Remove(string(w.id))
 		return
 	}
+	e.noteHolder(w)
 	_, ok := e.usable(w)
 	all, batch := w.committed()
 	e.index.Set(string(w.id), place.Worker{
--- a/core/entrycmd.go
+++ b/core/entrycmd.go
@@ -320,6 +320,10 @@
 	if row, ok := p.rec.(JobRow); ok {
 		c.job = &row
 	}
+	if text := e.oversized(recs, keys); text != "" {
+		e.refuse(c, *refusedForGood("%s", text))
+		return
+	}
 	c.everSent = true
 	e.commit(pendingCommand{c}, conds, recs, keys)
 }
@@ -334,6 +338,8 @@
 	switch {
 	case ev.Fault == FaultNoAnswer && !e.pol.on(guardReadback):
 		e.finishCommand(c, CommandResult{Outcome: CommandRefused, Text: commandRefusalText[ReasonStore]})
+	case ev.Fault == FaultRejected:
+		e.finishCommand(c, CommandResult{Outcome: CommandRefused, Text: "the table rejects the rows of the command; nothing was changed"})
 	case ev.Fault != FaultNone:
 		c.retryAt = latest(e.breaker.NextProbe(e.at.Now), e.at.Now.Add(minWake))
 	case ev.Result.Committed && c.refusal != nil:
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -15,14 +16,19 @@
 type commitGroup struct {
 	first    []*jobView // written before dirty: of long-running tasks, and of a conflict
 	dirty    []*jobView
+	apart    []*jobView // each written in a transaction of its own, see handleGroupRejected
 	inFlight *groupTxn
 }
 
-// len returns the number of jobs with edits that are not sent yet.
+// len returns the number of jobs with edits that are not sent yet, and may share a transaction.
 func (g *commitGroup) len() int { return len(g.first) + len(g.dirty) }
 
 // add lists a job with edits.
 func (g *commitGroup) add(j *jobView) {
+	if j.apart {
+		g.setApart(j)
+		return
+	}
 	j.dirty = true
 	if j.row.Spec.hasLongRunning() {
 		g.first = append(g.first, j)
@@ -38,7 +44,9 @@
 	g.dirty = slices.DeleteFunc(g.dirty, listed)
 	g.first = nil
 	for _, j := range jobs {
-		if j.dirty = len(j.edits) > 0; j.dirty {
+		if j.apart {
+			g.setApart(j)
+		} else if j.dirty = len(j.edits) > 0; j.dirty {
 			g.first = append(g.first, j)
 		}
 	}
@@ -63,7 +71,9 @@
 
 func (pendingGroup) pendingAnswer() {}
 
-func (g *commitGroup) isIdle() bool { return g.len() == 0 && g.inFlight == nil }
+func (g *commitGroup) isIdle() bool {
+	return g.len() == 0 && len(g.apart) == 0 && g.inFlight == nil
+}
 
 // addEdit adds an edit of a job to the next transaction. A repeated edit is dropped.
 func (e *Entry) addEdit(j *jobView, ed edit) {
@@ -103,13 +113,19 @@
 
 // flushAt returns when the next transaction may be sent; zero if there is none to send.
 func (e *Entry) flushAt() time.Time {
+	apartAt, apart := e.group.apartAt()
+	next := e.writes.NextAllowed(e.at.Now, limit.PriorityHigh)
 	switch t := e.group.inFlight; {
 	case t != nil && !t.retryAt.IsZero():
 		return t.retryAt
-	case t != nil || e.group.len() == 0:
+	case t != nil:
 		return time.Time{}
+	case e.group.len() > 0:
+		return next
+	case apart:
+		return latest(next, apartAt)
 	}
-	return e.writes.NextAllowed(e.at.Now, limit.PriorityHigh)
+	return time.Time{}
 }
 
 // advanceFlush sends the next transaction, or resends the one whose answer was lost.
@@ -122,7 +138,7 @@
 		}
 		return
 	}
-	if e.group.len() == 0 || e.breaker.IsOpen(e.at.Now) || !e.allowWrite(limit.PriorityHigh) {
+	if !e.group.isDue(e.at.Now) || e.breaker.IsOpen(e.at.Now) || !e.allowWrite(limit.PriorityHigh) {
 		return
 	}
 	t := e.buildTxn()
@@ -155,10 +171,19 @@
 // that are void or already in the table need no write. It returns nil if nothing is
 // left to write.
 func (e *Entry) buildTxn() *groupTxn {
+	if t := e.buildApart(); t != nil {
+		return t
+	}
+	return e.buildOf(&e.group.first, &e.group.dirty)
+}
+
+// buildOf builds a transaction from the jobs of lists; nil if nothing is left to write.
+func (e *Entry) buildOf(lists ...*[]*jobView) *groupTxn {
 	t := &groupTxn{}
 	conds := map[string]uint64{}
-	e.addJobs(t, &e.group.first, conds)
-	e.addJobs(t, &e.group.dirty, conds)
+	for _, list := range lists {
+		e.addJobs(t, list, conds)
+	}
 	if len(t.jobs) == 0 {
 		return nil
 	}
@@ -222,12 +247,15 @@
 	}
 	row.Ended = e.endedAt(row)
 	row.Started = row.hasStarted() || j.hasStarted()
-	b, err := Encode(row)
+	b, err := e.encodeJob(&row)
 	if err != nil {
 		e.logNote("job not written", string(j.row.Spec.ID), err.Error())
 		j.inFlight = nil
 		return
 	}
+	if len(b) > e.pol.RowBytes && e.withdrawClaims(j) {
+		return
+	}
 	key := keyJob(j.row.Spec.ID)
 	conds[key] = j.version
 	t.jobs = append(t.jobs, j)
@@ -236,6 +264,29 @@
 	t.txn.Writes = append(t.txn.Writes, table.Write{Key: key, Value: b})
 }
 
+// withdrawClaims undoes the claims that a job's row has no room for. The other edits of the job
+// are left for the next transaction. It reports whether there was any claim.
+func (e *Entry) withdrawClaims(j *jobView) bool {
+	var claims []edit
+	kept := make([]edit, 0, len(j.inFlight)+len(j.edits))
+	for _, ed := range j.inFlight {
+		if _, ok := ed.(claimEdit); ok {
+			claims = append(claims, ed)
+		} else {
+			kept = append(kept, ed)
+		}
+	}
+	if len(claims) == 0 {
+		return false
+	}
+	j.edits, j.inFlight = append(kept, j.edits...), nil
+	e.logEvent("claims withdrawn", string(j.row.Spec.ID), "claims", len(claims), "row", j.rowBytes)
+	for _, ed := range claims {
+		e.undoVoidEdit(j, ed)
+	}
+	return true
+}
+
 // isClaimAllowed reports whether a claim is still allowed by the entry's current view of
 // the worker, its fence and its data centre.
 func (e *Entry) isClaimAllowed(c claimEdit) bool {
@@ -272,9 +323,14 @@
 // handleCommitAnswered handles the table's answer to a transaction.
 func (e *Entry) handleCommitAnswered(ev CommitAnswered) {
 	w := e.takePending(ev.Token)
-	if ev.Fault != FaultNone {
+	switch {
+	case ev.Fault == FaultRejected && w != nil:
+		e.breaker.RecordSuccess(e.at.Now) // the table is there
+		e.count("store.rejected", ReasonRejected)
+		e.logEvent("write rejected", string(e.self.ID), "of", fmt.Sprintf("%T", w))
+	case ev.Fault != FaultNone:
 		e.recordStoreFault("write")
-	} else if w != nil {
+	case w != nil:
 		e.breaker.RecordSuccess(e.at.Now)
 	}
 	switch w := w.(type) {
@@ -296,6 +352,10 @@
 	if t != e.group.inFlight {
 		return
 	}
+	if ev.Fault == FaultRejected {
+		e.handleGroupRejected(t)
+		return
+	}
 	if ev.Fault != FaultNone {
 		t.retryAt = latest(e.breaker.NextProbe(e.at.Now), e.at.Now.Add(minWake))
 		return
@@ -308,8 +368,9 @@
 	for i, j := range t.jobs {
 		edits := j.inFlight
 		j.inFlight = nil
+		j.apart, j.rejections = false, 0
 		if ev.Result.Revision > j.version {
-			j.row, j.version = t.rows[i], ev.Result.Revision
+			j.row, j.version, j.rowBytes = t.rows[i], ev.Result.Revision, len(t.txn.Writes[i].Value)
 		}
 		for _, ed := range edits {
 			e.handleEditStored(j, ed)
--- a/core/entryinterference.go
+++ b/core/entryinterference.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if known := e.interference.Snapshot(); len(known) > 0 && e.homes.self && !e.leaving {
-		e.commit(pendingMember{}, nil, []Record{InterferenceRow{Pairs: known}}, []string{KeyInterference})
+		e.commit(pendingMember{}, nil, []Record{e.fitInterferenceRow(known)}, []string{KeyInterference})
 	}
 }
 
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -11,8 +11,10 @@
 type jobView struct {
 	row     JobRow
 	version uint64
-	shard   int
-	foreign bool // of another entry's shard; kept only while edits or requests are pending
+	// rowBytes is the size of the row as it was last written or read.
+	rowBytes int
+	shard    int
+	foreign  bool // of another entry's shard; kept only while edits or requests are pending
 
 	stepTimes map[int]stepRuntimes // by step, of tasks that this entry saw start and complete
 	waiters   []*openJobRequest    // requests that wait for a job-wide edit
@@ -20,6 +22,10 @@
 	edits    []edit // not sent yet
 	inFlight []edit // in the transaction in flight
 	dirty    bool   // listed in the commit group
+	apart    bool   // written in a transaction of its own: one with other jobs was rejected
+	// rejectedUntil is when the row may be written again after the last of some rejections.
+	rejectedUntil time.Time
+	rejections    int
 	// everSent is set once a transaction with an edit of the job was sent. It may take
 	// effect long after the wait for its answer was given up.
 	everSent bool
@@ -89,7 +95,7 @@
 	}
 	row.stored = true
 	j.foreign = !e.shards[j.shard].owned
-	j.row, j.version = row, r.Version
+	j.row, j.version, j.rowBytes = row, r.Version, len(r.Value)
 	e.reconcileAll(j)
 }
 
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -58,7 +58,7 @@
 		DC: e.self.DC, Millicores: e.self.Millicores, Joined: e.homes.joined,
 	}
 	row.Pending = sumReports(row.Reports)
-	e.commit(pendingMember{}, nil, []Record{row}, []string{keyEntry(e.self.ID)})
+	e.commit(pendingMember{}, nil, []Record{e.fitEntryRow(row)}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
 }
 
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -57,6 +57,14 @@
 		j.waitReasons[t.N] = ReasonQuota
 		return false
 	}
+	if j.isRejected(e.at.Now) {
+		j.waitReasons[t.N] = ReasonRejected
+		return false
+	}
+	if !e.hasRowRoom(j) {
+		j.waitReasons[t.N] = ReasonRow
+		return false
+	}
 	e.load.tried++
 	id, isolated, ok := e.pickFor(j, q)
 	if !ok && isolated {
--- a/core/entrywhy.go
+++ b/core/entrywhy.go
@@ -178,6 +178,10 @@
 		return "a worker that could hold it; none that is known can"
 	case ReasonRoom:
 		return "room on a worker"
+	case ReasonRow:
+		return "the end of another task of its job, whose row has no room for one more claim"
+	case ReasonRejected:
+		return "the next write of its job's row, which the table has rejected"
 	case ReasonIsolated:
 		return "a worker where it can run apart from other jobs, since workers crashed under it"
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -20,4 +20,5 @@
 	FaultNone     Fault = iota
 	FaultNotSent        // the call was not sent
 	FaultNoAnswer       // sent, but not answered: it may or may not have taken effect
+	FaultRejected       // refused for what it holds: it had no effect, and never will in this form
 )
--- a/core/plan.go
+++ b/core/plan.go
@@ -110,6 +110,9 @@
 		return plan{}, refusedNow("a task of %v fits no worker", spec.Size)
 	}
 	row := JobRow{Spec: spec, Tasks: make([]TaskRow, spec.Len()), Accepted: e.at.Now, Op: c.id}
+	if _, text := e.checkRowSize(&row); text != "" {
+		return plan{}, refusedForGood("%s", text)
+	}
 	return plan{rec: row, text: fmt.Sprintf("job %q accepted, %d tasks", spec.ID, spec.Len())}, nil
 }
 
--- a/core/policy.go
+++ b/core/policy.go
@@ -73,6 +73,8 @@
 	// TxnRows bounds the rows that one transaction writes, TxnEntries its writes
 	// and conditions together, TxnKilobytes the size of its rows except the last.
 	TxnRows, TxnEntries, TxnKilobytes int
+	// RowBytes bounds each row that is written to the table, in bytes of its value.
+	RowBytes int
 	// RampUpTime is how long a returned data centre takes to reach its full share.
 	RampUpTime time.Duration
 
@@ -151,6 +153,7 @@
 		TxnRows:         200,
 		TxnEntries:      2000,
 		TxnKilobytes:    4096,
+		RowBytes:        512 << 10,
 		Homes:           EveryEntry,
 		RampUpTime:      10 * time.Second,
 	}
--- a/core/rows.go
+++ b/core/rows.go
@@ -192,9 +192,10 @@
 type TaskRow struct {
 	State   TaskState `cbor:"1,keyasint,omitempty"`
 	Attempt uint32    `cbor:"2,keyasint,omitempty"` // of the last claim
-	Holder  Holder    `cbor:"3,keyasint,omitempty"`
-	Output  string    `cbor:"4,keyasint,omitempty"`
-	Reason  string    `cbor:"5,keyasint,omitempty"` // of the last end; kept while the next attempt runs
+	// Holder is that of the last claim; without a claim, only its worker is kept.
+	Holder Holder `cbor:"3,keyasint,omitempty"`
+	Output string `cbor:"4,keyasint,omitempty"`
+	Reason string `cbor:"5,keyasint,omitempty"` // of the last end; kept while the next attempt runs
 	// FailedOn lists the distinct workers that the task failed on.
 	FailedOn []WorkerID `cbor:"6,keyasint,omitempty"`
 	// By is the entry that made the claim. No other entry orders its start.
--- a/core/types.go
+++ b/core/types.go
@@ -138,12 +138,14 @@
 	ReasonEndpoints   Reason = "endpoints"   // no endpoint is available
 	ReasonOverload    Reason = "overload"    // the expected wait exceeds the deadline
 	ReasonQuota       Reason = "quota"       // the team's quota is exhausted
+	ReasonRow         Reason = "row"         // the job's row has no room for one more claim
 	ReasonBudget      Reason = "budget"      // the retry budget is exhausted
 	ReasonCut         Reason = "cut"         // no answer: the connection broke
 	ReasonLease       Reason = "lease"       // the agent's lease has expired
 	ReasonWorker      Reason = "worker"      // the worker's API failed or does not answer
 	ReasonStopping    Reason = "stopping"    // the entry is shutting down
 	ReasonStore       Reason = "store"       // the platform's table does not answer
+	ReasonRejected    Reason = "rejected"    // the platform's table rejects the row for what it holds
 	ReasonUnplaceable Reason = "never"       // no worker could ever hold the task
 	ReasonConfig      Reason = "config"      // the entry has not read the configuration yet
 	ReasonInvalid     Reason = "invalid"     // the endpoint rejected the request itself as invalid
--- a/io/entrycall.go
+++ b/io/entrycall.go
@@ -139,6 +139,8 @@
 	switch {
 	case err == nil:
 		return core.FaultNone
+	case errors.Is(err, table.ErrRejected):
+		return core.FaultRejected
 	case errors.Is(err, table.ErrNotSent):
 		return core.FaultNotSent
 	}
--- a/io/table.go
+++ b/io/table.go
@@ -38,7 +38,7 @@
 func (t *Table) Close() { t.http.CloseIdleConnections() }
 
 // Commit applies the transaction if its conditions hold. Its error wraps
-// table.ErrNotSent if the transaction certainly has no effect.
+// table.ErrNotSent or table.ErrRejected if the transaction certainly has no effect.
 func (t *Table) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
 	if err := t.acquire(ctx); err != nil {
 		return table.Result{}, err
@@ -96,6 +96,9 @@
 func (t *Table) release() { <-t.calls }
 
 func tableError(op string, err error) error {
+	if code := connect.CodeOf(err); code == connect.CodeInvalidArgument || code == connect.CodePermissionDenied {
+		return fmt.Errorf("table: %s: %w: %w", op, table.ErrRejected, err)
+	}
 	if faultOf(err) == core.FaultNotSent {
 		return fmt.Errorf("table: %s: %w: %w", op, table.ErrNotSent, err)
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -14,8 +14,8 @@
 //		Writes: []table.Write{{Key: "job/3/a", Value: b}},
 //	})
 //
-// After an error other than ErrNotSent the outcome is unknown: the transaction may
-// or may not have been applied. Read the rows again to find out.
+// After an error other than ErrNotSent and ErrRejected the outcome is unknown: the
+// transaction may or may not have been applied. Read the rows again to find out.
 package table
 
 import (
@@ -27,6 +27,10 @@
 // platform answered that it was not applied.
 var ErrNotSent = errors.New("table: call not sent or not applied")
 
+// ErrRejected reports that the platform refuses a call for what it holds, such as a row
+// that is too large. The call had no effect and never will; another form of it may.
+var ErrRejected = errors.New("table: call rejected for what it holds")
+
 // Row is one row as of some revision. Only Changes returns deleted rows.
 type Row struct {
 	Key     string
