core: know jobs by the route of their queue as well as by its name

Cause: requests were compared with a job's row by the name of the queue, which belongs to the configuration of the moment. Callers know a queue by host and path, which had not changed. The same comparison stood in the wait for a submission and in counts, own and reported, and a second submission was accepted without it. Ruled out: the read of the row, the age of the configuration, the relay.

Change: a job and a request about it name the route (host and prefix) that selects the queue; a job belongs to the queue of the same name or the same route. Counts are reported by route. Rows and reports of the build before are understood, and it understands those of today. An id that a job of another queue has is refused instead of accepted and never run.

--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -122,6 +122,14 @@
 			switch eff := eff.(type) {
 			case core.ReadChanges:
 				evs = append(evs, core.ChangesAnswered{Token: eff.Token, View: b.table.changes(eff.Prefix, eff.Since)})
+			case core.ReadRows:
+				v := table.View{Revision: b.table.rev}
+				for _, k := range eff.Keys {
+					r := b.table.rows[k]
+					r.Key = k
+					v.Rows = append(v.Rows, r)
+				}
+				evs = append(evs, core.RowsAnswered{Token: eff.Token, View: v})
 			case core.Commit:
 				ans := core.CommitAnswered{Token: eff.Token}
 				if b.table.rejects(eff.Txn) {
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -91,7 +91,7 @@
 		return false
 	case jr.Verb == JobGet && rest == "":
 		jr.Verb = JobCount
-		e.answerJobRequest(jr, e.answerCount(q.Name))
+		e.answerJobRequest(jr, e.answerCount(q))
 		return false
 	}
 	if len(rest) > maxJobIDBytes {
@@ -105,7 +105,7 @@
 	s := &jr.Spec
 	s.ID, s.Class = JobID(rest), q.Name
 	s.Queue, s.Service, s.Priority, s.Attempts = q.Name, q.Service, q.Priority, q.Attempts
-	s.Stretch, s.Objective = q.Stretch, q.Objective
+	s.Stretch, s.Objective, s.Route = q.Stretch, q.Objective, q.Route()
 	if jr.Verb != JobSubmit {
 		return true
 	}
@@ -160,16 +160,17 @@
 	case JobGet, JobStop:
 		e.lookUpOrCancel(jr)
 	case JobCount:
-		e.answerJobRequest(jr, e.answerCount(jr.Spec.Queue))
+		e.answerJobRequest(jr, e.answerCount(jr.Spec.queueRequested()))
 	}
 }
 
 // submit stores a new job in the table; the submission is answered once that is
-// committed. A job that is already stored is left unchanged.
+// committed. A job that is already stored is left unchanged. An id that a job of another queue
+// has is refused.
 func (e *Entry) submit(jr *openJobRequest) {
 	j := e.jobs[jr.Spec.ID]
 	if j != nil && j.row.stored {
-		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted})
+		e.answerJobRequest(jr, e.answerSubmission(j, jr))
 		return
 	}
 	if j == nil {
@@ -253,7 +254,7 @@
 // submission that was never sent to the table. It reports whether the request waits.
 func (e *Entry) awaitStored(jr *openJobRequest) bool {
 	j := e.jobs[jr.Spec.ID]
-	if j == nil || j.row.stored || j.row.Spec.Queue != jr.Spec.Queue {
+	if j == nil || j.row.stored || !e.belongs(&j.row.Spec, &jr.Spec) {
 		return false
 	}
 	if jr.Verb == JobStop && e.withdraw(jr) {
@@ -303,7 +304,7 @@
 // serveFromRow serves a request about a job that the table holds.
 func (e *Entry) serveFromRow(jr *openJobRequest, j *jobView) {
 	switch {
-	case j.row.Spec.Queue != jr.Spec.Queue:
+	case !e.belongs(&j.row.Spec, &jr.Spec):
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
 	case jr.Verb == JobGet:
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobAccepted, State: j.row.State(), Text: j.row.failure()})
@@ -320,18 +321,29 @@
 // answerStored answers the submissions of a job that is now stored, and the requests for its
 // state that waited for that.
 func (e *Entry) answerStored(j *jobView) {
-	e.answerWaiters(j, JobSubmit)
 	var left []*openJobRequest
 	for _, jr := range j.waiters {
-		if jr.Verb != JobGet {
+		switch {
+		case jr.Verb == JobSubmit:
+			e.answerJobRequest(jr, e.answerSubmission(j, jr))
+		case jr.Verb != JobGet:
 			left = append(left, jr)
-		} else if e.jobRequests[jr.token] == jr {
+		case e.jobRequests[jr.token] == jr:
 			e.serveFromRow(jr, j)
 		}
 	}
 	j.waiters = left
 }
 
+// answerSubmission returns the answer to the submission of a job that the table holds. The id
+// may be that of a job of another queue.
+func (e *Entry) answerSubmission(j *jobView, jr *openJobRequest) JobAnswer {
+	if e.belongs(&j.row.Spec, &jr.Spec) {
+		return JobAnswer{Outcome: JobAccepted}
+	}
+	return JobAnswer{Outcome: JobInvalid, Reason: ReasonDuplicate, Text: "a job of another queue has this id"}
+}
+
 // answerWaiters answers the requests that wait for a job-wide edit, now that it is
 // committed.
 func (e *Entry) answerWaiters(j *jobView, verb JobVerb) {
--- a/core/entrycount.go
+++ b/core/entrycount.go
@@ -67,8 +67,8 @@
 }
 
 // answerCount answers a request for the number of a queue's waiting jobs.
-func (e *Entry) answerCount(queue string) JobAnswer {
-	n := e.countQueue(queue)
+func (e *Entry) answerCount(q QueueRow) JobAnswer {
+	n := e.countQueue(q)
 	ans := JobAnswer{Outcome: JobAccepted, Pending: n.waiting}
 	switch {
 	case n.missing > 0:
@@ -76,7 +76,7 @@
 	case e.configAge() > e.pol.MaxCountAge(): // the queue may be another one by now
 		ans = JobAnswer{Outcome: JobRefused, Reason: ReasonConfig, RetryAfter: e.storeRetryAfter()}
 	}
-	e.logEvent("queue counted", queue, "waiting", n.waiting, "missing", n.missing,
+	e.logEvent("queue counted", q.Name, "waiting", n.waiting, "missing", n.missing,
 		"age", n.age(e.at.Now), "outcome", string(ans.Outcome))
 	return ans
 }
@@ -97,11 +97,11 @@
 }
 
 // countQueue counts a queue's waiting jobs from the most recent count of each shard.
-func (e *Entry) countQueue(queue string) queueCount {
+func (e *Entry) countQueue(q QueueRow) queueCount {
 	own := e.waitingByShard()
 	n := queueCount{asOf: e.at.Now}
 	for s := range e.shards {
-		c := e.countShard(s, queue, own[s])
+		c := e.countShard(s, q, own[s])
 		n.waiting += c.waiting
 		if c.asOf.IsZero() || e.at.Now.Sub(c.asOf) > e.pol.MaxCountAge() {
 			n.missing++
@@ -115,13 +115,21 @@
 
 // countShard returns the most recent count of a shard's waiting jobs: this entry's, if it
 // schedules the shard, or the one that another entry has published.
-func (e *Entry) countShard(shard int, queue string, own map[string]int) shardCount {
+func (e *Entry) countShard(shard int, q QueueRow, own ShardReport) shardCount {
 	sh := &e.shards[shard]
 	published := e.round.timeOf(sh.published.ReadUpTo)
 	if sh.owned && sh.loaded && !published.After(sh.asOf) {
-		return shardCount{waiting: own[queue], asOf: sh.asOf}
+		return shardCount{waiting: own.waiting(q), asOf: sh.asOf}
 	}
-	return shardCount{waiting: sh.published.Waiting[queue], asOf: published}
+	return shardCount{waiting: sh.published.waiting(q), asOf: published}
+}
+
+// waiting returns the reported number of a queue's waiting jobs.
+func (r ShardReport) waiting(q QueueRow) int {
+	if len(r.Routes) == 0 {
+		return r.Waiting[q.Name] // of an entry of an older build
+	}
+	return r.Routes[q.Route().hash()]
 }
 
 // applyReports keeps the reports that another entry has published, where they are the most
@@ -144,36 +152,40 @@
 	var rs []ShardReport
 	for s := range e.shards {
 		if sh := &e.shards[s]; sh.owned && sh.loaded {
-			rs = append(rs, ShardReport{Shard: s, ReadUpTo: sh.since, Waiting: own[s]})
+			own[s].Shard, own[s].ReadUpTo = s, sh.since
+			rs = append(rs, own[s])
 		}
 	}
 	return rs
 }
 
-// sumReports returns the waiting jobs of all reports by queue.
-func sumReports(rs []ShardReport) map[string]int {
-	n := map[string]int{}
-	for _, r := range rs {
-		for queue, waiting := range r.Waiting {
-			n[queue] += waiting
-		}
-	}
-	return n
+// queueKey is a queue as the rows of its jobs name it.
+type queueKey struct {
+	name  string
+	route Route
 }
 
-// waitingByShard counts the waiting jobs in memory, by shard and queue.
-func (e *Entry) waitingByShard() [Shards]map[string]int {
-	var n [Shards]map[string]int
+// waitingByShard counts the waiting jobs in memory: the reports of all shards, without what
+// they rest on.
+func (e *Entry) waitingByShard() [Shards]ShardReport {
+	var rs [Shards]ShardReport
+	hashes := map[queueKey]uint64{}
 	for _, j := range e.jobs {
 		if j.foreign || j.row.Spec.Queue == "" || !j.isWaiting() {
 			continue
 		}
-		if n[j.shard] == nil {
-			n[j.shard] = map[string]int{}
+		key := queueKey{j.row.Spec.Queue, j.row.Spec.Route}
+		if _, ok := hashes[key]; !ok {
+			hashes[key] = e.config.routeOf(&j.row.Spec).hash()
+		}
+		r := &rs[j.shard]
+		if r.Waiting == nil {
+			r.Waiting, r.Routes = map[string]int{}, map[uint64]int{}
 		}
-		n[j.shard][j.row.Spec.Queue]++
+		r.Waiting[j.row.Spec.Queue]++
+		r.Routes[hashes[key]]++
 	}
-	return n
+	return rs
 }
 
 // isWaiting reports whether the table holds the job and none of its tasks is known to have
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -57,7 +57,6 @@
 		ID: e.self.ID, Addr: e.self.Addr.String(), Heartbeats: e.heartbeats, Reports: e.shardReports(),
 		DC: e.self.DC, Millicores: e.self.Millicores, Joined: e.homes.joined,
 	}
-	row.Pending = sumReports(row.Reports)
 	e.commit(pendingMember{}, nil, []Record{e.fitEntryRow(row)}, []string{keyEntry(e.self.ID)})
 	e.removeDeadPeers()
 }
--- a/core/rowcheck.go
+++ b/core/rowcheck.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"net/netip"
 )
@@ -80,7 +81,7 @@
 	if r.Shard < 0 || r.Shard >= Shards {
 		return fmt.Errorf("report of shard %d", r.Shard)
 	}
-	for _, n := range r.Waiting {
+	for n := range r.counts() {
 		if n < 0 || n > math.MaxInt32 {
 			return fmt.Errorf("report of %d waiting jobs", n)
 		}
@@ -88,6 +89,22 @@
 	return nil
 }
 
+// counts yields all numbers of waiting jobs in the report.
+func (r ShardReport) counts() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for _, n := range r.Waiting {
+			if !yield(n) {
+				return
+			}
+		}
+		for _, n := range r.Routes {
+			if !yield(n) {
+				return
+			}
+		}
+	}
+}
+
 // check checks that the row is of the worker of its key.
 func (r FenceRow) check(key string) error {
 	if key != keyFence(r.Worker) {
--- a/core/rows.go
+++ b/core/rows.go
@@ -94,6 +94,16 @@
 	Tickets bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Route is the host and the path prefix that select a queue. Callers name a job by them and its
+// ID, whatever the queue is named in the configuration of the moment.
+type Route struct {
+	Host   string `cbor:"1,keyasint,omitempty"` // empty matches any
+	Prefix string `cbor:"2,keyasint,omitempty"`
+}
+
+// Route returns the route that selects the queue.
+func (q QueueRow) Route() Route { return Route{Host: q.Host, Prefix: q.Prefix} }
+
 // QueuesRow holds all queues in one row, so that they change together.
 type QueuesRow struct {
 	Queues []QueueRow `cbor:"1,keyasint"`
@@ -116,8 +126,6 @@
 	ID         EntryID `cbor:"1,keyasint"`
 	Addr       string  `cbor:"2,keyasint"` // of EntryService
 	Heartbeats uint64  `cbor:"3,keyasint"` // counts the rewrites of the row
-	// Pending is the sum of Reports by queue, for entries that don't read Reports yet.
-	Pending map[string]int `cbor:"4,keyasint,omitempty"`
 	// Reports count the waiting jobs of the shards that the entry schedules. A shard
 	// without a report has not been read by the entry.
 	Reports []ShardReport `cbor:"5,keyasint,omitempty"`
@@ -132,8 +140,11 @@
 	Shard int `cbor:"1,keyasint"`
 	// ReadUpTo is the revision of the table up to which the entry has read the shard.
 	ReadUpTo uint64 `cbor:"2,keyasint"`
-	// Waiting counts the accepted jobs none of whose tasks has started, by queue.
+	// Routes counts the accepted jobs none of whose tasks has started, by the hash of the
+	// route that selects their queue. Waiting counts them by the name that the queue had when
+	// they were accepted, for entries that don't read Routes yet.
 	Waiting map[string]int `cbor:"3,keyasint,omitempty"`
+	Routes  map[uint64]int `cbor:"4,keyasint,omitempty"`
 }
 
 // FenceRow lists the fenced incarnations of a worker: their claims have been or
@@ -243,6 +254,9 @@
 	// critical path, plus Objective.
 	Stretch   float64       `cbor:"14,keyasint,omitempty"`
 	Objective time.Duration `cbor:"15,keyasint,omitempty"`
+	// Route selected the queue when the job was submitted; of a request about a job, it is the
+	// route by which the queue was found. Jobs of older builds have none.
+	Route Route `cbor:"17,keyasint,omitzero" json:",omitzero"`
 }
 
 // JobRow is a job with the states of its tasks.
--- a/core/rowsize.go
+++ b/core/rowsize.go
@@ -164,16 +164,12 @@
 	return len(b)
 }
 
-// fitEntryRow leaves counts out of an entry's row that is too large: the sum first, and then
-// the reports of the shards with the most queues. A shard without a report has not been
-// counted, so that whoever asks is told to come back.
+// fitEntryRow leaves reports out of an entry's row that is too large, those of the shards with
+// the most queues first. A shard without a report has not been counted, so that whoever asks is
+// told to come back.
 func (e *Entry) fitEntryRow(row EntryRow) EntryRow {
 	left := len(row.Reports)
-	for encodedBytes(row) > e.pol.RowBytes && (row.Pending != nil || len(row.Reports) > 0) {
-		if row.Pending != nil {
-			row.Pending = nil
-			continue
-		}
+	for encodedBytes(row) > e.pol.RowBytes && len(row.Reports) > 0 {
 		largest := 0
 		for i, r := range row.Reports {
 			if len(r.Waiting) > len(row.Reports[largest].Waiting) {
