core: run a task on a worker that it avoids rather than nowhere

Cause: a failure excluded the worker from all later attempts of the task. The exclusion is meant as a preference, but nothing ended it or looked whether a worker was left. Ruled out: room, the order of the queue, the agents: no order was sent after the third end. The same question put to each way of avoiding a worker: without a number of attempts a task was never parked on fewer workers than `parking`; a straggler kept its job off its only worker for 10 s, quarantine of all workers kept short tasks waiting for 10 s to 5 minutes. A task that had failed also kept its siblings from being considered in the same scan.

--- a/core/entry.go
+++ b/core/entry.go
@@ -41,6 +41,8 @@
 	nextRetention time.Time // when expired jobs are next removed
 	nextClaims    time.Time // when claims are next checked
 	nextFence     time.Time // earliest time of the next fence write
+	// quarantinedUntil is when the last quarantine of a worker ends.
+	quarantinedUntil time.Time
 
 	homes homeView
 
--- a/core/entryclaim.go
+++ b/core/entryclaim.go
@@ -181,6 +181,7 @@
 	e.logEvent("task ended", ed.end.Attempt.String(), "kind", string(ed.end.Kind), "reason", ed.end.Reason,
 		"worker", string(ed.worker), "state", j.row.Tasks[ed.task()].State.String(), "job", string(j.row.State()))
 	w.failures.recordEnd(ed.end, e.at.Now)
+	e.quarantinedUntil = latest(e.quarantinedUntil, w.failures.until)
 	e.indexWorker(w)
 }
 
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -114,8 +114,14 @@
 			return id, true
 		}
 	}
-	if id, ok := e.pickOne(need, j, q, st); ok || !e.isOverdue(j, q) {
-		return id, ok
+	if id, ok := e.pickOne(need, j, q, st); ok {
+		return id, true
+	}
+	switch {
+	case !st.LongRunning:
+		return e.pickAvoided(need, j, q, st)
+	case !e.isOverdue(j, q):
+		return "", false
 	}
 	if awaited != nil && e.canAwait(awaited, need) && !e.mayLeaveForQuarantine(q, need) {
 		return awaited.id, true
@@ -287,32 +293,6 @@
 	return "", false
 }
 
-// refusing returns the workers that a job avoids for now, in order. It drops expired
-// entries of j.avoidUntil.
-func (e *Entry) refusing(j *jobView) []string {
-	var ids []string
-	for w, until := range j.avoidUntil {
-		if e.at.Now.Before(until) {
-			ids = append(ids, string(w))
-		} else {
-			delete(j.avoidUntil, w)
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
-
-// avoided returns the workers that the task's job avoids for now, and those on which
-// the task has failed.
-func (e *Entry) avoided(j *jobView, n int) []string {
-	ids := e.refusing(j)
-	for _, w := range j.row.Tasks[n].FailedOn {
-		ids = append(ids, string(w))
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // withinQuota reports whether one more task of the job fits this entry's share of the
 // team's quota. All homes have equal shares.
 func (e *Entry) withinQuota(spec *JobSpec) bool {
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -51,6 +51,7 @@
 	longRunning bool
 	urgent      bool
 	overdue     bool
+	avoids      bool // it may run on workers that others avoid
 }
 
 // schedule places queued tasks: all of them if the last scan lies back long enough, and
@@ -186,7 +187,7 @@
 	}
 	s.failures++
 	s.searches++
-	s.steps[step] = len(j.row.Spec.Steps) > 0 && (!w.longRunning || len(j.row.Tasks[n].FailedOn) == 0)
+	s.steps[step] = len(j.row.Spec.Steps) > 0 && len(j.row.Tasks[n].FailedOn) == 0
 	if general && j.waitReasons[n] == ReasonRoom {
 		s.shapes[sh] = append(s.shapes[sh], j.row.Spec.Step(n).Size)
 	}
@@ -209,7 +210,7 @@
 	st := spec.Step(w.task.N)
 	sh = shape{
 		service: spec.Service, label: st.Label, bestEffort: st.BestEffort, longRunning: st.LongRunning,
-		urgent: w.mayPreempt, overdue: e.isOverdue(j, w),
+		urgent: w.mayPreempt, overdue: e.isOverdue(j, w), avoids: e.mayBeAvoided(j, w),
 	}
 	switch {
 	case len(spec.Steps) == 0:
--- a/core/rows.go
+++ b/core/rows.go
@@ -207,7 +207,7 @@
 	Holder Holder `cbor:"3,keyasint,omitempty"`
 	Output string `cbor:"4,keyasint,omitempty"`
 	Reason string `cbor:"5,keyasint,omitempty"` // of the last end; kept while the next attempt runs
-	// FailedOn lists the distinct workers that the task failed on.
+	// FailedOn lists the distinct workers that the task failed on, the last one last.
 	FailedOn []WorkerID `cbor:"6,keyasint,omitempty"`
 	// By is the entry that made the claim. No other entry orders its start.
 	By        EntryID `cbor:"8,keyasint,omitempty"`
