core: remove ended jobs within the table's limit, and forget them

Cause: up to 100 jobs with two entries each in a call that takes 100; and removed jobs stayed in memory, since reads of a shard never return rows that are gone, so that the next removal conflicted with its own predecessor.

Change: a removal keeps to Policy.TxnEntries, the next one follows at once while there may be more, and its answer, also a conflict, drops the jobs that are gone. The removal of recorded refusals keeps to the limit too.

--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -57,8 +57,9 @@
 
 func (b *benchTable) apply(txn table.Txn) table.Result {
 	for _, c := range txn.Conds {
-		if b.rows[c.Key].Version != c.Version {
-			return table.Result{Conflicts: []table.Row{b.rows[c.Key]}}
+		r := b.rows[c.Key]
+		if r.Key = c.Key; r.Version != c.Version {
+			return table.Result{Conflicts: []table.Row{r}}
 		}
 	}
 	b.rev++
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -340,6 +340,8 @@
 		e.handleFenceAnswered(w, ev)
 	case pendingCommand:
 		e.handleCommandAnswered(w.c, ev)
+	case pendingRetention:
+		e.handleRetentionAnswered(w.ids, ev)
 	case pendingRefusals:
 		e.handleRefusalsRemoved(w.ids, ev)
 	case pendingLeave:
--- a/core/entryrefusal.go
+++ b/core/entryrefusal.go
@@ -82,7 +82,7 @@
 func (e *Entry) removeRefusals() {
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(e.refusals.recorded)) {
-		if e.at.Now.Sub(e.refusals.recorded[id]) > e.pol.Retention && len(ids) < maxRemovedRefusals {
+		if e.at.Now.Sub(e.refusals.recorded[id]) > e.pol.Retention && len(ids) < min(maxRemovedRefusals, e.pol.TxnEntries) {
 			ids = append(ids, id)
 		}
 	}
--- a/core/export_test.go
+++ b/core/export_test.go
@@ -22,3 +22,6 @@
 
 // Tried returns the number of tasks for which the entry has looked for a worker.
 func (e *Entry) Tried() int { return e.load.tried }
+
+// Jobs returns the number of jobs in the entry's memory.
+func (e *Entry) Jobs() int { return len(e.jobs) }
--- a/core/keep_test.go
+++ b/core/keep_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -36,6 +37,39 @@
 	assert.Assert(t, has(open) && has(core.PrefixOp+"op-open"))
 }
 
+// Guards against rows and memory that grow without bound: with more expired jobs than fit one
+// transaction each removal was rejected, and jobs that were removed made the next one conflict.
+func TestRetentionOfManyJobs(t *testing.T) {
+	const jobs, removedByOther = 1000, 7
+	p := core.DefaultPolicy()
+	p.TxnEntries = tableTxnEntries
+	b := newBench(t, core.WithPolicy(p))
+	b.table.txnEntries = tableTxnEntries
+	ended := b.now.Add(-p.Retention + 30*time.Second)
+	for i := range jobs {
+		id := benchJobID(i)
+		b.table.put(t, keyOfJob(id), core.JobRow{
+			Spec:  core.JobSpec{ID: id, Inputs: []string{"x"}, Size: core.Size{Millicores: 1}},
+			Ended: ended, Tasks: []core.TaskRow{{State: core.TaskDone, Attempt: 1}},
+		})
+	}
+	b.run(10 * time.Second) // all shards are read
+	for i := range removedByOther {
+		delete(b.table.rows, keyOfJob(benchJobID(i*100)))
+	}
+	assert.Equal(t, b.e.Jobs(), jobs)
+	b.run(90 * time.Second)
+	left := 0
+	for key := range b.table.rows {
+		if strings.HasPrefix(key, core.PrefixJob) {
+			left++
+		}
+	}
+	assert.Equal(t, left, 0, "rows of jobs whose retention period is over")
+	assert.Equal(t, b.e.Jobs(), 0, "jobs in memory")
+	assert.Equal(t, b.table.rejected, 0, "transactions rejected")
+}
+
 // TestShowAllShards checks that `show tasks` covers the jobs of all shards, with one
 // read per shard.
 func TestShowAllShards(t *testing.T) {
