core: start best-effort tasks whose CPU no worker leaves unused

A declared CPU beyond any worker's capacity was refused as unplaceable for the same reason.

Change: the task of a stuck job goes where its reserved size fits; what it reserves decides whether a worker could ever hold it.

--- a/core/entryask.go
+++ b/core/entryask.go
@@ -206,10 +206,10 @@
 	return ReasonNone
 }
 
-// fitsNoWorker reports whether the job has a step whose tasks exceed the capacity of
-// every known worker.
+// fitsNoWorker reports whether the job has a step whose tasks would reserve more than the
+// capacity of every known worker.
 func (e *Entry) fitsNoWorker(s *JobSpec) bool {
-	return slices.ContainsFunc(s.Steps, func(st StepSpec) bool { return e.exceedsAllWorkers(st.Size) })
+	return slices.ContainsFunc(s.Steps, func(st StepSpec) bool { return e.exceedsAllWorkers(st.Reserved()) })
 }
 
 // usesUnsupported reports whether a job uses features that are not implemented:
--- a/core/entrycolocate.go
+++ b/core/entrycolocate.go
@@ -139,7 +139,8 @@
 
 // pickBestEffort chooses a worker for a best-effort task: one that meets need, or else
 // the one of a few workers with long-running tasks where it interferes least and is
-// tolerated. Tasks of a job that is stuck are placed even where they are not tolerated.
+// tolerated. Tasks of a job that is stuck are placed even where they are not tolerated, or where
+// others leave less than they declare: their CPU is not reserved, so that it is a preference.
 func (e *Entry) pickBestEffort(need place.Need, image string, stuck bool, seed uint64) (string, bool) {
 	if id, ok := e.index.PickSlack(need, seed); ok {
 		return id, true
@@ -156,5 +157,9 @@
 			break
 		}
 	}
-	return best, best != ""
+	if best != "" || !stuck {
+		return best, best != ""
+	}
+	need.Size, need.Constraint = reservedSize(need.Size, true), place.AnyWorker
+	return e.index.PickSlack(need, seed)
 }
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -338,7 +338,7 @@
 // recordNoRoom records why a task waits. A task that no known worker could hold for
 // longer than parkAfter is parked, unless its job came in through a queue.
 func (e *Entry) recordNoRoom(j *jobView, n int) {
-	if !e.exceedsAllWorkers(j.row.Spec.Step(n).Size) {
+	if st := j.row.Spec.Step(n); !e.exceedsAllWorkers(st.Reserved()) {
 		j.waitReasons[n] = ReasonRoom
 		j.unplaceableSince = time.Time{}
 		return
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -350,3 +350,32 @@
 	got, _ := s.awaitPlacement()
 	return got
 }
+
+// Guards against LOST: a best-effort task that declares more CPU than long-running tasks leave was
+// accepted and never started, though its CPU is not reserved.
+func TestLargeBestEffortTaskRunsBesideLongRunning(t *testing.T) {
+	for _, cpu := range []int64{15000, 40000} {
+		s := newWaitScene(t, 2)
+		s.run(100 * time.Millisecond)
+		for i := range s.hbs {
+			s.hbs[i].Committed, s.hbs[i].LongRunning = core.Size{Millicores: 4000, MemoryMB: 2000}, 4000
+			s.hbs[i].TargetedTasks = 1
+			s.hbs[i].TailLatencies = []core.ImageTailLatency{{Image: "api", Worst: 0.3, Tasks: 1}}
+		}
+		s.heartbeatAll(s.hbs)
+		s.put("long", 0, core.StepSpec{Count: 1, BestEffort: true, Image: "plan", Size: core.Size{Millicores: cpu, MemoryMB: 2000}})
+		got, after := s.awaitPlacement()
+		assert.Assert(t, got != "" && after < maxStill, "%d millicores: on %q after %s", cpu, got, after)
+	}
+}
+
+// A best-effort task goes first where others leave the CPU that it declares.
+func TestBestEffortTaskPrefersWorkerWithItsCPU(t *testing.T) {
+	s := newWaitScene(t, 2)
+	s.run(100 * time.Millisecond)
+	s.hbs[0].Committed = core.Size{Millicores: 12000, MemoryMB: 2000}
+	s.heartbeatAll(s.hbs)
+	s.put("long", 0, core.StepSpec{Count: 1, BestEffort: true, Image: "plan", Size: core.Size{Millicores: 15000, MemoryMB: 2000}})
+	got, _ := s.awaitPlacement()
+	assert.Equal(t, got, s.hbs[1].Worker)
+}
