core: search for avoided workers only where one may be found

On a busy site half of all orders are refused, so many jobs avoid some worker.

Only a worker in quarantine can take what found no room on any other, so the shape tells just that; what a worker could hold is compared with what a step reserves. withdrawClaims moves to the other code on the size of rows.

--- a/core/avoid_test.go
+++ b/core/avoid_test.go
@@ -158,3 +158,18 @@
 		assert.Assert(t, len(s.workersOf(id)) >= 3, "runs on %v", s.workersOf(id))
 	}
 }
+
+// Guards against LOST: a job avoided a worker on which it had a straggler for 10 s, also its only
+// one.
+func TestJobReturnsToOnlyWorkerThatWasSlow(t *testing.T) {
+	const id = "00000000000000c4"
+	s := newSizeScene(t, 1)
+	s.slow = true
+	assert.Equal(t, s.submit(id, smallSpec(4)).Outcome, core.JobAccepted)
+	for len(s.stops) == 0 && len(s.runs) < 20 {
+		s.play(sizeStep)
+	}
+	evicted := s.now
+	assert.Equal(t, s.playUntilEnd(id, 20*time.Second), core.JobDone)
+	assert.Assert(t, s.now.Sub(evicted) < maxStill, "done %s after the straggler was evicted", s.now.Sub(evicted))
+}
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -87,6 +87,7 @@
 	result  func(core.CommandResult)
 
 	orders   []core.Order // to start attempts
+	stops    []core.Attempt
 	replies  []core.JobAnswer
 	recorded []core.Attempt // whose ends were acknowledged to agents
 }
@@ -150,6 +151,8 @@
 				b.replies = append(b.replies, eff.Answer)
 			case core.BeatReply:
 				b.recorded = append(b.recorded, eff.Answer.Recorded...)
+			case core.Stop:
+				b.stops = append(b.stops, eff.Attempt)
 			case core.Start:
 				b.starts++
 				b.orders = append(b.orders, eff.Order)
--- a/core/entryavoid.go
+++ b/core/entryavoid.go
@@ -30,10 +30,13 @@
 // enough. Of those that it has failed on, the one where that is longest ago comes first.
 func (e *Entry) pickAvoided(need place.Need, j *jobView, q queuedTask, st StepSpec) (WorkerID, bool) {
 	n := q.task.N
+	failedOn := j.row.Tasks[n].FailedOn
+	if len(failedOn) == 0 && len(j.avoidUntil) == 0 && !e.mayUseQuarantined(q) {
+		return "", false
+	}
 	unfit := e.unfit(j, n, st)
 	waited := e.at.Now.Sub(q.since)
-	failedOn := j.row.Tasks[n].FailedOn
-	if len(failedOn) > 0 && e.mayReturn(need, slices.Concat(unfit, workerNames(failedOn)), waited) {
+	if len(failedOn) > 0 && e.mayReturn(st, slices.Concat(unfit, workerNames(failedOn)), waited) {
 		for i := range failedOn {
 			need.Exclude = slices.Concat(unfit, e.refusing(j), workerNames(failedOn[i+1:]))
 			if id, ok := e.pickOne(need, j, q, st); ok {
@@ -45,46 +48,47 @@
 		return "", false
 	}
 	need.Exclude = unfit
-	if len(j.avoidUntil) > 0 && !e.hasWorkerFor(need, slices.Concat(unfit, e.refusing(j))) {
+	if len(j.avoidUntil) > 0 && !e.hasWorkerFor(st, slices.Concat(unfit, e.refusing(j))) {
 		if id, ok := e.pickOne(need, j, q, st); ok {
 			return id, true
 		}
 	}
-	return e.pickInQuarantine(need, workerNames(failedOn), waited)
+	if !e.mayUseQuarantined(q) {
+		return "", false
+	}
+	return e.pickInQuarantine(need, st, workerNames(failedOn), waited)
 }
 
 // mayReturn reports whether a task may run on a worker on which it has failed: no other worker
 // could hold it, or it has waited for room on the others for long enough.
-func (e *Entry) mayReturn(need place.Need, avoided []string, waited time.Duration) bool {
+func (e *Entry) mayReturn(st StepSpec, avoided []string, waited time.Duration) bool {
 	switch {
 	case waited >= maxAvoidedWait:
 		return true
 	case waited >= avoidedWait && e.index.NonPreemptibleFraction() < busySiteUtilization:
 		return true
 	}
-	return !e.hasWorkerFor(need, avoided)
+	return !e.hasWorkerFor(st, avoided)
 }
 
 // hasWorkerFor reports whether a worker that is in use, and not among the excluded ones, could
-// hold the task if it were empty.
-func (e *Entry) hasWorkerFor(need place.Need, excluded []string) bool {
+// hold a task of the step if it were empty.
+func (e *Entry) hasWorkerFor(st StepSpec, excluded []string) bool {
 	return slices.ContainsFunc(e.workerIDs(), func(id WorkerID) bool {
 		w := e.workers[id]
 		_, ok := e.usable(w)
 		return ok && !w.heartbeat.LeaseLapsed && !w.failures.isQuarantined(e.at.Now) &&
-			need.Size.Fits(w.heartbeat.Capacity) && !slices.Contains(excluded, string(id))
+			st.Reserved().Fits(w.heartbeat.Capacity) && !slices.Contains(excluded, string(id))
 	})
 }
 
 // pickInQuarantine chooses a worker in quarantine with room for a task, one on which it has not
 // failed if there is any. It does so if no other worker could hold the task, or after a long wait
 // on a site that is not busy.
-func (e *Entry) pickInQuarantine(need place.Need, failedOn []string, waited time.Duration) (WorkerID, bool) {
-	if !e.at.Now.Before(e.quarantinedUntil) {
-		return "", false
-	}
+func (e *Entry) pickInQuarantine(need place.Need, st StepSpec, failedOn []string, waited time.Duration) (WorkerID, bool) {
+	need.Size = st.Reserved()
 	idle := waited >= maxAvoidedWait && e.index.NonPreemptibleFraction() < busySiteUtilization
-	if !idle && e.hasWorkerFor(need, need.Exclude) {
+	if !idle && e.hasWorkerFor(st, need.Exclude) {
 		return "", false
 	}
 	elsewhere := need
@@ -97,14 +101,10 @@
 	return "", false
 }
 
-// mayBeAvoided reports whether a task that finds no room may still run on a worker that it
-// avoids.
-func (e *Entry) mayBeAvoided(j *jobView, q queuedTask) bool {
-	if q.longRunning {
-		return false // see pickOverdue
-	}
-	return len(j.avoidUntil) > 0 || len(j.row.Tasks[q.task.N].FailedOn) > 0 ||
-		e.at.Now.Before(e.quarantinedUntil) && e.at.Now.Sub(q.since) >= refusedWait
+// mayUseQuarantined reports whether a short task has waited for so long that it may run on a
+// worker in quarantine; for long-running ones, see pickOverdue.
+func (e *Entry) mayUseQuarantined(q queuedTask) bool {
+	return !q.longRunning && e.at.Now.Before(e.quarantinedUntil) && e.at.Now.Sub(q.since) >= refusedWait
 }
 
 // refusing returns the workers that a job avoids for now, in order. It drops expired
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -264,29 +264,6 @@
 	t.txn.Writes = append(t.txn.Writes, table.Write{Key: key, Value: b})
 }
 
-// withdrawClaims undoes the claims that a job's row has no room for. The other edits of the job
-// are left for the next transaction. It reports whether there was any claim.
-func (e *Entry) withdrawClaims(j *jobView) bool {
-	var claims []edit
-	kept := make([]edit, 0, len(j.inFlight)+len(j.edits))
-	for _, ed := range j.inFlight {
-		if _, ok := ed.(claimEdit); ok {
-			claims = append(claims, ed)
-		} else {
-			kept = append(kept, ed)
-		}
-	}
-	if len(claims) == 0 {
-		return false
-	}
-	j.edits, j.inFlight = append(kept, j.edits...), nil
-	e.logEvent("claims withdrawn", string(j.row.Spec.ID), "claims", len(claims), "row", j.rowBytes)
-	for _, ed := range claims {
-		e.undoVoidEdit(j, ed)
-	}
-	return true
-}
-
 // isClaimAllowed reports whether a claim is still allowed by the entry's current view of
 // the worker, its fence and its data centre.
 func (e *Entry) isClaimAllowed(c claimEdit) bool {
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -51,7 +51,7 @@
 	longRunning bool
 	urgent      bool
 	overdue     bool
-	avoids      bool // it may run on workers that others avoid
+	quarantine  bool // it may run on a worker in quarantine
 }
 
 // schedule places queued tasks: all of them if the last scan lies back long enough, and
@@ -210,7 +210,7 @@
 	st := spec.Step(w.task.N)
 	sh = shape{
 		service: spec.Service, label: st.Label, bestEffort: st.BestEffort, longRunning: st.LongRunning,
-		urgent: w.mayPreempt, overdue: e.isOverdue(j, w), avoids: e.mayBeAvoided(j, w),
+		urgent: w.mayPreempt, overdue: e.isOverdue(j, w), quarantine: e.mayUseQuarantined(w),
 	}
 	switch {
 	case len(spec.Steps) == 0:
--- a/core/rowsize.go
+++ b/core/rowsize.go
@@ -85,6 +85,29 @@
 	return j.rowBytes+unwritten*e.claimBytes()+(len(j.claims)+1)*endedTaskBytes <= e.pol.RowBytes
 }
 
+// withdrawClaims undoes the claims that a job's row has no room for. The other edits of the job
+// are left for the next transaction. It reports whether there was any claim.
+func (e *Entry) withdrawClaims(j *jobView) bool {
+	var claims []edit
+	kept := make([]edit, 0, len(j.inFlight)+len(j.edits))
+	for _, ed := range j.inFlight {
+		if _, ok := ed.(claimEdit); ok {
+			claims = append(claims, ed)
+		} else {
+			kept = append(kept, ed)
+		}
+	}
+	if len(claims) == 0 {
+		return false
+	}
+	j.edits, j.inFlight = append(kept, j.edits...), nil
+	e.logEvent("claims withdrawn", string(j.row.Spec.ID), "claims", len(claims), "row", j.rowBytes)
+	for _, ed := range claims {
+		e.undoVoidEdit(j, ed)
+	}
+	return true
+}
+
 // claimBytes bounds what one claim takes in a job's row.
 func (e *Entry) claimBytes() int { return claimKeyBytes + e.holderBytes + len(e.self.ID) }
 
--- a/core/rowsize_test.go
+++ b/core/rowsize_test.go
@@ -22,9 +22,10 @@
 type sizeScene struct {
 	*bench
 	hbs   []core.Heartbeat
-	fails int // attempts of each task that fail, with a long reason
-	saved int // bytes of each checkpoint
-	most  int // attempts that ran at the same time
+	fails int  // attempts of each task that fail, with a long reason
+	saved int  // bytes of each checkpoint
+	slow  bool // the first attempt of each job's first task runs until it is stopped
+	most  int  // attempts that ran at the same time
 	runs  []taskRun
 }
 
@@ -107,14 +108,23 @@
 	if s.now.UnixNano()/int64(sizeRunTime) == s.now.Add(-sizeStep).UnixNano()/int64(sizeRunTime) {
 		return
 	}
-	for _, a := range hb.Running {
+	running := hb.Running
+	hb.Running, hb.Committed = nil, core.Size{}
+	for _, a := range running {
+		stopped := slices.Contains(s.stops, a)
+		if s.slow && a.Task.N == 0 && a.Number == 1 && !stopped {
+			hb.Running = append(hb.Running, a)
+			continue
+		}
 		end := core.End{Attempt: a, Kind: core.EndDone, Started: true, Saved: strings.Repeat("c", s.saved)}
 		if int(a.Number) <= s.fails {
 			end.Kind, end.Reason = core.EndFailed, "failed: "+strings.Repeat("x", 1000)
 		}
+		if stopped {
+			end.Kind = core.EndEvicted
+		}
 		hb.Ends = append(hb.Ends, end)
 	}
-	hb.Running, hb.Committed = nil, core.Size{}
 	for i, o := range s.orders {
 		if o.Holder.Worker == hb.Worker && o.Size.Millicores > 0 {
 			hb.Running = append(hb.Running, o.Attempt)
