--- a/review/standin2/case_budget.go
+++ b/review/standin2/case_budget.go
@@ -3,55 +3,64 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
 // Figures of the case budget.
 const (
 	freezeTime   = 3500 * time.Millisecond
-	planAttempts = 2 // max_attempts of queuePlan
-	budgetJobs   = 200
-	budgetPause  = 200 * time.Millisecond // between two jobs
+	planAttempts = 2                      // max_attempts of queuePlan
+	budgetPause  = 50 * time.Millisecond  // between two jobs
+	budgetTime   = 70 * time.Second       // of the traffic
+	poisonEach   = 20                     // one job of so many can never be done: a share of 0.05
+	poisonTime   = 3 * time.Second        // of one wave of such jobs
+	poisonPause  = time.Second            // between two waves
+	soundRun     = 300 * time.Millisecond // of a task that can be done
 	budgetWarmUp = 6 * time.Second        // until the first freeze
-	frozenAgents = 9
-	freezePause  = time.Second
-	budgetWatch  = 55 * time.Second
+	freezes      = 12
+	freezePause  = 1500 * time.Millisecond
+	budgetWatch  = 15 * time.Second // after the traffic
 )
 
-// runBudget freezes the machines of agents, one after the other, while tasks that always fail
-// run. No task may start again once max_attempts of its runs have ended failed, and these ends
-// have been noted.
+// runBudget freezes the machines of agents, one after the other, while waves of jobs come that
+// can never be done. No task may start again once max_attempts of its runs have ended failed, and
+// these ends have been noted.
 func runBudget(s *site, trouble bool) verdict {
 	c := newClient(s.rec)
-	began := time.Now()
-	submitted := make(chan int, 1)
-	go func() { submitted <- submitHopeless(s, c) }()
+	var traffic sync.WaitGroup
+	jobs, accepted := 0, 0
+	traffic.Go(func() { jobs, accepted = submitPlans(s, c) })
 	time.Sleep(budgetWarmUp)
-	for _, a := range s.agents[:frozenAgents] {
+	for n := range freezes {
+		a := s.agents[n%numAgents]
 		if trouble {
 			s.rec.note("trouble: %s is frozen for %s", a.name, freezeTime)
 			a.freeze(freezeTime)
 		}
 		time.Sleep(freezePause)
 	}
-	accepted := <-submitted
-	time.Sleep(time.Until(began.Add(budgetWatch)))
-	return verdict{ran: accepted == budgetJobs, breaks: startsOverBudget(s.eventsNow())}
+	traffic.Wait()
+	time.Sleep(budgetWatch)
+	return verdict{ran: accepted > jobs/2, breaks: startsOverBudget(s.eventsNow())}
 }
 
-// submitHopeless hands in jobs of one task each that always fails, and returns how many were
-// accepted.
-func submitHopeless(s *site, c *client) int {
-	accepted := 0
-	for n := range budgetJobs {
-		millis := int64(2500 + 250*(n%10))
-		st := step{Count: 1, CPU: 3000, Memory: 1000, Estimated: int(millis)}
-		if c.submit(s.entries[n%numEntries], queuePlan, jobID(n+1), taskSpec{Millis: millis, End: "failed"}, st) == http.StatusOK {
+// submitPlans hands in jobs of one task each, and returns how many, and how many were accepted.
+func submitPlans(s *site, c *client) (jobs, accepted int) {
+	began := time.Now()
+	for ; time.Since(began) < budgetTime; jobs++ {
+		wave := time.Since(began)%(poisonTime+poisonPause) < poisonTime
+		spec := taskSpec{Millis: soundRun.Milliseconds(), End: "done"}
+		if wave && jobs%poisonEach == 0 {
+			spec = taskSpec{Millis: int64(2500 + 250*(jobs/poisonEach%10)), End: "failed"}
+		}
+		st := step{Count: 1, CPU: 3000, Memory: 1000, Estimated: int(spec.Millis)}
+		if c.submit(s.entries[jobs%numEntries], queuePlan, jobID(jobs+1), spec, st) == http.StatusOK {
 			accepted++
 		}
 		time.Sleep(budgetPause)
 	}
-	return accepted
+	return jobs, accepted
 }
 
 // startsOverBudget returns the starts of tasks after max_attempts noted failures. A failure does
--- a/review/standin2/case_twice.go
+++ b/review/standin2/case_twice.go
@@ -14,13 +14,14 @@
 	lateMost    = 3 * time.Second
 	lateLead    = 2 * time.Second // from the first late calls to the cut
 	lateTime    = 5500 * time.Millisecond
-	refuseTime  = 9 * time.Second // of a cut
-	cutWorkers  = 4               // 0.35 of 11
-	cutRounds   = 4
+	refuseTime  = 5500 * time.Millisecond // of a cut
+	cutWorkers  = 2                       // 0.17 of 11
+	cutRounds   = 8
 	twiceJobs   = 11
 	twiceTasks  = 4
-	twiceRun    = 90 * time.Second
+	twiceRun    = 120 * time.Second
 	twiceWarmUp = 4 * time.Second
+	cutPause    = 3 * time.Second
 )
 
 // runTwice lets workers carry calls out late, and partitions some of them from their agents by a
@@ -36,7 +37,7 @@
 	}
 	time.Sleep(twiceWarmUp)
 	for round := range cutRounds {
-		first := round * (cutWorkers - 1) % (numAgents - cutWorkers + 1)
+		first := round * cutWorkers % (numAgents - cutWorkers + 1)
 		s.lateRound(trouble, s.agents[first:][:cutWorkers])
 	}
 	return verdict{ran: accepted == twiceJobs, breaks: overlaps(s.eventsNow())}
@@ -45,7 +46,7 @@
 // lateRound lets calls be carried out late and cuts some workers off meanwhile.
 func (s *site) lateRound(trouble bool, agents []*agent) {
 	if !trouble {
-		time.Sleep(lateLead + refuseTime + twiceWarmUp)
+		time.Sleep(lateLead + refuseTime + cutPause)
 		return
 	}
 	s.setLate(true)
@@ -61,7 +62,7 @@
 		})
 	}
 	cuts.Wait()
-	time.Sleep(twiceWarmUp)
+	time.Sleep(cutPause)
 }
 
 // setLate switches late calls of all workers on or off.
--- a/review/standin2/case_unasked.go
+++ b/review/standin2/case_unasked.go
@@ -43,7 +43,7 @@
 	for _, j := range jobs {
 		c.look(s.entries[1], queuePlan, j.id)
 	}
-	return verdict{ran: true, breaks: startsAfterCancel(s.eventsNow(), jobs)}
+	return verdict{ran: true, breaks: startsAfterCancel(s.eventsNow(), jobs, began.Add(cutTime+contactMillis*time.Millisecond))}
 }
 
 // submitAndCancel hands jobs in at the first entry, and cancels at the second one those whose
@@ -82,13 +82,13 @@
 }
 
 // startsAfterCancel returns the starts of tasks later than cancel_ms after the cancelling of
-// their job was acknowledged.
-func startsAfterCancel(events []event, jobs []*unaskedJob) []string {
+// their job was acknowledged. Starts before calm, contact_ms after the cut, don't count.
+func startsAfterCancel(events []event, jobs []*unaskedJob, calm time.Time) []string {
 	var breaks []string
 	for _, j := range jobs {
 		for _, e := range events {
 			late := e.at.Sub(j.cancelledAt)
-			if e.kind == evStart && !j.cancelledAt.IsZero() && strings.HasPrefix(e.task, j.id+".") && late > cancelMillis*time.Millisecond {
+			if e.kind == evStart && e.at.After(calm) && !j.cancelledAt.IsZero() && strings.HasPrefix(e.task, j.id+".") && late > cancelMillis*time.Millisecond {
 				breaks = append(breaks, fmt.Sprintf("UNASKED: %s run %d started %s after the cancelling of its job was acknowledged", e.task, e.run, late.Round(time.Millisecond)))
 			}
 		}
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -22,6 +22,7 @@
 	host        = "nony24.example"
 	// Bounds of the pages, in ms.
 	cancelMillis  = 3000
+	contactMillis = 3000
 	noticeMillis  = 4500
 	visibleMillis = 3000
 )
--- a/review/standin2/util.go
+++ b/review/standin2/util.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 )
@@ -25,8 +27,12 @@
 	_, _ = w.Write(b)
 }
 
+// loopback is the address of this run. Calls go out from 127.0.0.1, so that their ports are
+// never those that freeAddr has found here.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(254), 1+rand.IntN(254))
+
 // listen returns a listener on a free port of the loopback interface.
-func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+func listen() (net.Listener, error) { return net.Listen("tcp", loopback+":0") }
 
 // freeAddr returns a loopback address whose port is free.
 func freeAddr() (string, error) {
