core: conclude nothing about earlier calls from a refused connection

Cause: a refused inspection was taken for the end of the worker's process (inspectFault, noteInspection), so that the agent forgot that a call which extends the lease had got no answer. It handed the tasks back after the latest deadline that it knew of, and told entries in its heartbeats that nothing could come late. FaultNotSent is news about its own call only.

Change: what a worker has accepted is forgotten only on proof that its process is over: its notice of leaving with a refusal after it, or an answer of another boot. Each call that extends the lease and got no answer counts by itself, until one of a later epoch is answered or the longest delay is past its own deadline. No inspection extends a lease that no task needs. The stand-ins can refuse connections to processes that run on: fakes, late_test, the soak.

--- a/core/agentdrain.go
+++ b/core/agentdrain.go
@@ -77,9 +77,10 @@
 	}
 }
 
-// loseLeft records the tasks of a worker that has left as lost.
+// loseLeft records the tasks of a worker that has left as lost. Its process is over.
 func (a *Agent) loseLeft() {
 	a.logNote("worker gone", string(a.inc), "it has left")
+	a.calls.forgetUnanswered()
 	for _, t := range a.heldByUnsavedWork() {
 		a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "its worker has left"})
 	}
--- a/core/agentevent.go
+++ b/core/agentevent.go
@@ -25,6 +25,9 @@
 	// CopyLost says that an earlier copy of the call got no answer and may take effect
 	// later.
 	CopyLost bool
+	// Broken says, with FaultNoAnswer, that the connection broke before the answer. A worker
+	// that carries out calls late leaves them unanswered instead.
+	Broken bool
 	// Unread lists the tasks whose state the worker may have reported in a form that can't
 	// be read. They are not among Tasks.
 	Unread []TaskID
@@ -115,6 +118,7 @@
 	// later epoch.
 	Superseded bool
 	CopyLost   bool // see Inspected
+	Broken     bool // likewise
 	Fault      Fault
 }
 
@@ -124,8 +128,9 @@
 	Verb    Verb
 	Epoch   uint64 // of the Control
 	Done    bool
-	// CopyLost is as in Inspected.
+	// CopyLost and Broken are as in Inspected.
 	CopyLost bool
+	Broken   bool
 	Fault    Fault
 }
 
--- a/core/agentincarnation.go
+++ b/core/agentincarnation.go
@@ -28,7 +28,7 @@
 	a.ready, a.joinedAt = true, a.at.Now
 	a.grantedUntil = a.at.Now.Add(a.pol.Lease) // by an earlier process
 	if len(a.held) > 0 {
-		a.calls.unansweredAt = a.at.Now // as the earlier process may know
+		a.calls.timedOutAt = a.at.Now // as the earlier process may know
 	}
 	if a.inc == "" {
 		a.newIncarnation()
@@ -102,7 +102,7 @@
 	}
 	a.draining, a.leftAt = false, time.Time{}
 	a.confirmedUntil, a.renewUntil = time.Time{}, time.Time{}
-	a.calls.unansweredAt = time.Time{} // by the crash
+	a.calls.timedOutAt = time.Time{} // by the crash
 	a.newIncarnation()
 	a.logNote("worker restarted", string(a.inc), "")
 	for _, t := range a.heldByUnsavedWork() {
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -31,39 +31,51 @@
 }
 
 // nextDeadline returns the deadline that the next inspection carries, zero for none. One that
-// is confirmed is not sent again, and none is sent to a worker that has not answered the last
-// call: if it is gone, its tasks would be held for longer.
+// is confirmed is not sent again, and none is sent that no task needs, or to a worker that has
+// not answered the last call: if it is gone, its tasks would be held for longer.
 func (a *Agent) nextDeadline() time.Time {
-	if !a.renewUntil.After(a.confirmedUntil) || a.inspectFaults > 0 || a.workerDown() {
+	if !a.renewUntil.After(a.confirmedUntil) || a.inspectFaults > 0 || a.workerDown() || !a.needsLease() {
 		return time.Time{}
 	}
 	return a.renewUntil
 }
 
-// noteInspection records whether the latest inspection, or a copy of it, got no answer.
-func (a *Agent) noteInspection(ev Inspected) {
-	if ev.Fault == FaultNotSent {
-		a.calls.forgetUnanswered()
+// needsLease reports whether some task is to run on at the worker.
+func (a *Agent) needsLease() bool {
+	for _, t := range a.held {
+		if t.started && t.stopping == "" {
+			return true
+		}
 	}
+	return false
+}
+
+// noteInspection records whether the latest inspection, or a copy of it, got no answer. One
+// that was not sent had no effect itself and tells nothing about earlier calls.
+func (a *Agent) noteInspection(ev Inspected) {
 	if ev.Fault != FaultNoAnswer && !ev.CopyLost {
 		return
 	}
-	a.calls.noteUnanswered(a.calls.inspection, a.at.Now)
+	a.calls.noteUnanswered(a.calls.inspection, ev.Broken && !ev.CopyLost, a.at.Now)
 	if !a.inspectDeadline.IsZero() {
-		a.calls.noteGrantLost(a.calls.inspection)
+		a.calls.noteGrantLost(a.calls.inspection, a.inspectDeadline)
 	}
 }
 
 // copyAnswerTime is the time within which a worker answers a call unless something is wrong.
 const copyAnswerTime = 300 * time.Millisecond
 
-// mayOutliveAgent reports whether calls to the worker may take effect late if this is the
-// agent's last heartbeat: some have got no answer of late, or none yet.
+// mayOutliveAgent reports whether calls to the worker may extend its lease for longer than
+// entries wait for if this is the agent's last heartbeat: it leaves calls unanswered, some that
+// extend the lease have got no answer, or none yet.
 func (a *Agent) mayOutliveAgent() bool {
 	if !a.pol.FencedCalls {
 		return false
 	}
-	if lost := a.calls.unansweredAt; !lost.IsZero() && a.at.Now.Sub(lost) < maxCallDelay {
+	if a.calls.hasTimedOutSince(a.at.Now.Add(-maxCallDelay)) {
+		return true
+	}
+	if a.calls.extendedLateUntil().After(a.at.Now.Add(a.pol.Lease)) {
 		return true
 	}
 	if a.inspecting && !a.inspectDeadline.IsZero() && a.at.Now.Sub(a.inspectStartedAt) > copyAnswerTime {
--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -188,10 +188,7 @@
 		return
 	}
 	for _, t := range a.heldByUnsavedWork() {
-		lostAfter := a.runsUntil(t).Add(a.pol.Drift)
-		if a.calls.mayExtendLate() {
-			lostAfter = lostAfter.Add(maxCallDelay)
-		}
+		lostAfter := latest(a.runsUntil(t), a.calls.extendedLateUntil()).Add(a.pol.Drift)
 		if t.launched && a.at.Now.After(lostAfter) {
 			a.lost = append(a.lost, t)
 			a.recordEnd(t, End{Attempt: t.order.Attempt, Kind: EndLost, Reason: "its worker does not answer"})
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -254,8 +254,8 @@
 // by a later inspection, or by the launch's deadline.
 func (a *Agent) handleLaunched(ev Launched) {
 	if ev.Fault == FaultNoAnswer || ev.CopyLost {
-		a.calls.noteUnanswered(ev.Epoch, a.at.Now)
-		a.calls.noteGrantLost(ev.Epoch)
+		a.calls.noteUnanswered(ev.Epoch, ev.Broken && !ev.CopyLost, a.at.Now)
+		a.calls.noteGrantLost(ev.Epoch, a.grantedUntil)
 	}
 	t := a.held[ev.Attempt.Task]
 	if !t.isLaunchedBy(ev) {
@@ -360,7 +360,7 @@
 // worker again after a stop.
 func (a *Agent) handleControlled(ev Controlled) {
 	if ev.Fault == FaultNoAnswer || ev.CopyLost {
-		a.calls.noteUnanswered(ev.Epoch, a.at.Now)
+		a.calls.noteUnanswered(ev.Epoch, ev.Broken && !ev.CopyLost, a.at.Now)
 	}
 	if ev.Verb == VerbStop && ev.Fault == FaultNone && !a.inspecting {
 		a.inspect()
@@ -388,7 +388,7 @@
 	e.Saved = cmp.Or(e.Saved, t.saved)
 	a.logEvent("run ended", e.Attempt.String(), "kind", string(e.Kind), "reason", e.Reason, "moved", t.moved,
 		"listed", t.listed, "launched", a.since(t.launchedAt), "inspected", a.since(a.inspectedAt),
-		"deadline", a.since(t.deadline), "granted", a.since(a.grantedUntil))
+		"deadline", a.since(t.deadline), "granted", a.since(a.grantedUntil), "late", a.since(a.calls.extendedLateUntil()))
 	a.updateUsageRatio(t)
 	if t.moved && e.Kind != EndDone {
 		return
--- a/core/fuzz_test.go
+++ b/core/fuzz_test.go
@@ -188,6 +188,28 @@
 	}
 }
 
+// withRefusals returns the script with links that refuse connections in place of cuts.
+func (s script) withRefusals() script {
+	s.Actions = slices.Clone(s.Actions)
+	for i, a := range s.Actions {
+		switch a := a.(type) {
+		case fake.CutVM:
+			s.Actions[i] = fake.Refuse{Of: fake.TargetWorker, N: a.VM, For: a.For}
+		case fake.CutDC:
+			s.Actions[i] = fake.Refuse{Of: fake.TargetAgent, N: a.DC, For: a.For}
+		case fake.CutEntries:
+			s.Actions[i] = fake.Refuse{Of: fake.TargetEntry, N: a.A, For: a.For}
+		case fake.CutStore:
+			s.Actions[i] = fake.Refuse{Of: fake.TargetStore, For: a.For}
+		}
+	}
+	return s
+}
+
+// TestSeedsOfRefusals checks the scripts of TestSeeds with links that refuse connections to
+// processes that run on, where they have cuts without an answer.
+func TestSeedsOfRefusals(t *testing.T) { checkVariant(t, script.withRefusals) }
+
 // TestSeedsOfSteps checks the scripts of TestSeeds with jobs of steps.
 func TestSeedsOfSteps(t *testing.T) { checkVariant(t, script.withSteps) }
 
--- a/core/late_test.go
+++ b/core/late_test.go
@@ -59,6 +59,8 @@
 	lateRestart  = 3500 * time.Millisecond
 	lateSuspect  = 3500 * time.Millisecond
 	lateDrift    = 400 * time.Millisecond
+	// lateMaxRefusal is the longest time for which a link refuses connections.
+	lateMaxRefusal = 5500 * time.Millisecond
 	// lateMaxCallDelay is how long entries wait for calls that may be late.
 	lateMaxCallDelay = 13 * time.Second
 
@@ -87,6 +89,8 @@
 	sameID bool    // the worker restarts under the id that it had
 	gone   bool    // the agent is, for good
 	downTo time.Time
+	// refusedTo is when the link to the worker, which runs on, stops refusing connections.
+	refusedTo time.Time
 
 	last     core.Heartbeat
 	nextTask int
@@ -229,7 +233,39 @@
 	return false
 }
 
+// refuses reports whether connections to the worker are refused.
+func (s *lateSite) refuses() bool { return s.now.Before(s.refusedTo) }
+
+// refuse answers an effect of the agent as a refused connection does.
+func (s *lateSite) refuse(eff core.AgentEffect, life int) {
+	var ev core.AgentEvent
+	switch eff := eff.(type) {
+	case core.Inspect:
+		ev = core.Inspected{Fault: core.FaultNotSent}
+	case core.Launch:
+		ev = core.Launched{Attempt: eff.Order.Attempt, Epoch: eff.Epoch, Fault: core.FaultNotSent}
+	case core.Control:
+		ev = core.Controlled{Attempt: eff.Attempt, Verb: eff.Verb, Epoch: eff.Epoch, Fault: core.FaultNotSent}
+	}
+	s.answer(life, time.Millisecond, func() core.AgentEvent { return ev })
+}
+
+// isCall reports whether an effect of the agent is a call to the worker.
+func isCall(eff core.AgentEffect) bool {
+	switch eff := eff.(type) {
+	case core.Inspect, core.Launch:
+		return true
+	case core.Control:
+		return eff.Verb == core.VerbStop
+	}
+	return false
+}
+
 func (s *lateSite) carry(eff core.AgentEffect, life int) {
+	if s.refuses() && isCall(eff) {
+		s.refuse(eff, life)
+		return
+	}
 	switch eff := eff.(type) {
 	case core.Inspect:
 		s.inspect(eff, life)
@@ -285,6 +321,9 @@
 		return
 	}
 	s.answer(life, min(wait, s.between(time.Millisecond, 500*time.Millisecond))+time.Millisecond, func() core.AgentEvent {
+		if s.refuses() {
+			return core.Inspected{Fault: core.FaultNoAnswer, Broken: true}
+		}
 		if s.now.Before(s.downTo) || s.w.boot != c.boot {
 			return core.Inspected{Fault: core.FaultNoAnswer}
 		}
@@ -601,6 +640,40 @@
 	})
 }
 
+// refuseConnections lets the link to the worker refuse connections for some times, in which the
+// worker runs on and carries out what it has received.
+func (s *lateSite) refuseConnections() {
+	for range 1 + s.rng.IntN(3) {
+		s.after(s.between(lateFrom+time.Second, lateFaultsFor-lateMaxRefusal), func() {
+			s.refusedTo = s.now.Add(s.between(time.Second, lateMaxRefusal))
+		})
+	}
+}
+
+// TestLateCallsBeforeConnectionsAreRefused guards against a task that is given to another worker
+// while its worker runs it on: a refused connection was taken for proof that the worker's process
+// was gone, and with it the calls that had got no answer.
+func TestLateCallsBeforeConnectionsAreRefused(t *testing.T) {
+	eachSeed(t, 150, func(t *testing.T, seed uint64) {
+		s := newLateSite(seed)
+		s.refuseConnections()
+		s.check(t)
+	})
+}
+
+// TestLateCallsBeforeRefusalsAndLossOfAgent is TestLateCallsBeforeConnectionsAreRefused with an
+// agent that is gone for good while its worker refuses connections: what it has reported must
+// not say that nothing can come late.
+func TestLateCallsBeforeRefusalsAndLossOfAgent(t *testing.T) {
+	eachSeed(t, 150, func(t *testing.T, seed uint64) {
+		s := newLateSite(seed)
+		from := s.between(lateFrom+3*time.Second, lateFaultsFor-lateMaxRefusal)
+		s.after(from, func() { s.refusedTo = s.now.Add(lateMaxRefusal) })
+		s.after(from+s.between(100*time.Millisecond, 2*time.Second), s.loseAgent)
+		s.check(t)
+	})
+}
+
 // check plays the day and reports what must not happen.
 func (s *lateSite) check(t *testing.T) {
 	s.run()
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -21,6 +21,9 @@
 	loseStarts   bool                  // starts get no answer and are only recorded in lateStarts
 	unresponsive bool                  // no call is answered
 	gone         bool                  // it refuses connections
+	broken       bool                  // the connections of inspections break
+	lost         int                   // inspections without an answer
+	lostDeadline time.Time             // of the last one that carried one
 	lateStarts   []core.Launch
 	epoch        uint64 // the highest seen
 	stops        int
@@ -99,8 +102,12 @@
 		if n.w.gone {
 			return core.Inspected{Fault: core.FaultNotSent}
 		}
-		if n.w.unresponsive {
-			return core.Inspected{Fault: core.FaultNoAnswer}
+		if n.w.unresponsive || n.w.broken {
+			n.w.lost++
+			if !eff.Deadline.IsZero() {
+				n.w.lostDeadline = eff.Deadline
+			}
+			return core.Inspected{Fault: core.FaultNoAnswer, Broken: n.w.broken}
 		}
 		n.w.epoch = max(n.w.epoch, eff.Epoch)
 		return n.w.inspect()
@@ -113,6 +120,9 @@
 		n.w.start(eff)
 		return core.Launched{Attempt: a, Epoch: eff.Epoch, Started: true}
 	case core.Control:
+		if n.w.gone {
+			return core.Controlled{Attempt: eff.Attempt, Verb: eff.Verb, Epoch: eff.Epoch, Fault: core.FaultNotSent}
+		}
 		if n.w.unresponsive {
 			return core.Controlled{Attempt: eff.Attempt, Verb: eff.Verb, Epoch: eff.Epoch, Fault: core.FaultNoAnswer}
 		}
@@ -147,6 +157,18 @@
 	}
 }
 
+// loseInspection lets the worker answer for a while, and then one inspection fail.
+func (n *noIncAgent) loseInspection(fails *bool) {
+	const tries = 100
+	*fails = false
+	n.run(time.Second + time.Duration(n.w.lost)*50*time.Millisecond) // never in step with the agent
+	*fails = true
+	for lost := n.w.lost; n.w.lost == lost; {
+		n.run(50 * time.Millisecond)
+	}
+	assert.Assert(n.t, n.w.lost < tries, "no such inspection")
+}
+
 func (n *noIncAgent) order(a core.Attempt) {
 	n.reduce(core.StartAsked{Token: 1, Order: core.Order{
 		Attempt: a, Holder: core.Holder{Worker: "w", Inc: n.last.Inc}, Echo: n.last.Sent, Size: noIncSize, Urgent: true,
@@ -207,12 +229,18 @@
 	assert.Equal(t, len(n.last.Ends), 1, "never reported as lost")
 }
 
-// A worker that is gone answers nothing. Its tasks are handed back as soon as the lease that
-// it was granted has certainly expired, and not only once a late call could have acted.
-func TestTasksOfLostWorkerAreHandedBackSoon(t *testing.T) {
+// longPollPolicy returns a policy with inspections that the worker may delay.
+func longPollPolicy() core.Policy {
 	p := core.DefaultPolicy()
 	p.Lease, p.HeartbeatInterval = 6*time.Second, time.Second
 	p.InspectInterval, p.InspectWait = 50*time.Millisecond, 500*time.Millisecond
+	return p
+}
+
+// A worker that is gone answers nothing. Its tasks are handed back as soon as the lease that
+// it was granted has certainly expired, and not only once a late call could have acted.
+func TestTasksOfLostWorkerAreHandedBackSoon(t *testing.T) {
+	p := longPollPolicy()
 	n := newNoIncAgent(t, newNoIncWorker(), core.WithPolicy(p))
 	n.order(noIncAttempt)
 	n.run(3500 * time.Millisecond)
@@ -256,6 +284,37 @@
 	assert.Assert(t, n.last.Leaving)
 }
 
+// A refused connection was taken for the end of the worker's process, so that its tasks were
+// given to other workers while an extension of its lease that had got no answer was to come.
+func TestRefusedConnectionsSettleNoCalls(t *testing.T) {
+	n := newNoIncAgent(t, newNoIncWorker())
+	n.order(noIncAttempt)
+	for n.w.lostDeadline.IsZero() { // until an inspection that extends the lease is lost
+		n.loseInspection(&n.w.unresponsive)
+	}
+	n.w.gone = true
+	const maxDelay = 12 * time.Second // of a call, as the platform's pages state it
+	n.run(n.w.lostDeadline.Add(maxDelay).Sub(n.now))
+	assert.Equal(t, len(n.last.Ends), 0, "reported as lost while a late extension is possible")
+	n.run(3 * time.Second)
+	assert.Equal(t, len(n.last.Ends), 1, "never reported as lost")
+	assert.Assert(t, !n.last.Unsettled)
+}
+
+// A connection that breaks while the worker delays its lists leaves nothing to come late: the
+// claims of a VM whose agent is lost just after its worker has crashed are not held for that.
+func TestBrokenConnectionLeavesNothingUnsettled(t *testing.T) {
+	n := newNoIncAgent(t, newNoIncWorker(), core.WithPolicy(longPollPolicy()))
+	n.order(noIncAttempt)
+	for n.loseInspection(&n.w.broken); !n.w.lostDeadline.IsZero(); n.loseInspection(&n.w.broken) {
+		n.w.lostDeadline = time.Time{} // until one is lost that does not extend the lease
+	}
+	n.w.gone = true
+	n.run(2 * time.Second)
+	assert.Assert(t, n.last.Leaving)
+	assert.Assert(t, !n.last.Unsettled)
+}
+
 // A restarted agent takes over the running tasks under the same incarnation.
 func TestRestartedAgentKeepsIncarnation(t *testing.T) {
 	n := newNoIncAgent(t, newNoIncWorker())
--- a/fake/action.go
+++ b/fake/action.go
@@ -217,6 +217,24 @@
 	For  time.Duration
 }
 
+// Target names the kind of process that refuses connections.
+type Target int
+
+// The kinds of processes.
+const (
+	TargetWorker Target = iota
+	TargetAgent
+	TargetEntry
+	TargetStore
+)
+
+// Refuse makes the link to a process refuse connections for a while. The process runs on.
+type Refuse struct {
+	Of  Target
+	N   int // of the VM or the entry
+	For time.Duration
+}
+
 // Way is the direction of a cut.
 type Way int
 
@@ -276,6 +294,7 @@
 func (CutStore) action()    {}
 func (FailReads) action()   {}
 func (CutEntries) action()  {}
+func (Refuse) action()      {}
 func (Net) action()         {}
 func (Store) action()       {}
 func (Objects) action()     {}
--- a/fake/do.go
+++ b/fake/do.go
@@ -29,6 +29,8 @@
 		w.doClient(a)
 	case CutVM, CutDC, CutStore, CutEntries:
 		w.doCut(a)
+	case Refuse:
+		w.refuse(w.target(a), a.For)
 	case Net, Store, Objects, FailReads:
 		w.doIll(a)
 	default:
@@ -268,6 +270,28 @@
 	}
 }
 
+// target returns the process that is to refuse connections.
+func (w *World) target(a Refuse) *proc {
+	switch a.Of {
+	case TargetWorker:
+		return w.vm(a.N).worker.proc
+	case TargetAgent:
+		return w.vm(a.N).agent.proc
+	case TargetEntry:
+		return w.entry(a.N).proc
+	default:
+		return w.store.proc
+	}
+}
+
+// refuse breaks the calls in flight to a process, and refuses new ones for d.
+func (w *World) refuse(p *proc, d time.Duration) {
+	w.oracle.trouble(w.now.Add(d))
+	p.refusals++
+	p.breakInbound()
+	w.after(d, func() { p.refusals-- })
+}
+
 func (w *World) doIll(a Action) {
 	switch a := a.(type) {
 	case Net:
--- a/fake/net.go
+++ b/fake/net.go
@@ -72,7 +72,7 @@
 	unsent := func(after time.Duration) {
 		w.after(after, func() { finish(none, core.FaultNotSent) })
 	}
-	if r.to == nil || (!r.to.up && w.chance(0.7)) {
+	if r.to == nil || r.to.refusals > 0 || (!r.to.up && w.chance(0.7)) {
 		unsent(mostHop)
 		return
 	}
--- a/fake/proc.go
+++ b/fake/proc.go
@@ -38,6 +38,7 @@
 	undone   []func() // effects that it was to carry out when it was paused
 	inbound  []*call
 	trap     *trap
+	refusals int // cuts that refuse connections to it
 }
 
 // trap pauses or kills a process the next time it makes an effect of a kind.
@@ -90,12 +91,18 @@
 	}
 	w.log(p.name, "is killed")
 	p.up, p.paused, p.held, p.undone, p.trap = false, false, nil, nil, nil
+	if w.chance(0.5) {
+		p.breakInbound()
+	}
+	p.inbound = nil
+}
+
+// breakInbound breaks the calls to the process that are in flight. They may be carried out.
+func (p *proc) breakInbound() {
 	calls := p.inbound
 	p.inbound = nil
-	if w.chance(0.5) {
-		for _, c := range calls {
-			c.fail()
-		}
+	for _, c := range calls {
+		c.fail()
 	}
 }
 
