core: write a tombstone before a cancellation is answered with not found

Cause: 410 rested on one read of the job's row, while the transaction of another entry that stores the job was under way. The store may carry such a transaction out seconds later, when its sender has given up or is gone. Besides, an entry sent it again however old it was.

Change: before 410 a TombstoneRow takes the key of the job's row, on condition that the row is absent, so that the condition of each transaction that stores the job fails from then on; a job that was stored meanwhile is cancelled. Who finds a tombstone drops the job and answers a submission with 400, reason tombstone. Tombstones share transactions, one each 50 ms and entry at most; an entry keeps 5,000 at most, and removes them after 5 minutes. A job that nobody waits for any more, or that is a minute old, is taken out of a transaction before that is sent again.

TestCancelWithdrawsUnsentSubmission expected 410 right after the read; it expects it after the tombstone now, since another entry may be storing the job, and no answer before.

--- a/core/ask_test.go
+++ b/core/ask_test.go
@@ -541,6 +541,9 @@
 	assert.Equal(t, submitted.Answer.Outcome, core.JobRefused)
 	r := mustFind[core.ReadRows](h)
 	h.post(core.RowsAnswered{Token: r.Token, View: table.View{Rows: []table.Row{{Key: r.Keys[0]}}}})
+	_, answered := find[core.JobReply](h)
+	assert.Assert(t, !answered, "answered while another entry may still store the job")
+	h.post(core.CommitAnswered{Token: h.tombstone().Token, Result: table.Result{Committed: true, Revision: 20}})
 	assert.Equal(t, mustFind[core.JobReply](h), core.JobReply{Token: 81, Answer: core.JobAnswer{Outcome: core.JobNotFound}})
 }
 
--- a/core/entry.go
+++ b/core/entry.go
@@ -76,6 +76,7 @@
 	commands    map[string]*command       // commands that change something, by id
 	refusals    refusalLog                // of commands
 	jobRequests map[Token]*openJobRequest // by the token of the event
+	tombstones  tombstones
 
 	leaving       bool
 	leaveDeadline time.Time
@@ -104,6 +105,7 @@
 	return &Entry{
 		self: self, pol: pol,
 		pending:    map[Token]pendingAnswer{},
+		tombstones: tombstones{kept: map[JobID]tombstone{}},
 		writes:     limit.NewRate(pol.WritesPerSecond, storeBurst),
 		reads:      limit.NewRate(pol.ReadsPerSecond, storeBurst*2),
 		workers:    map[WorkerID]*workerView{},
@@ -190,6 +192,7 @@
 	e.advanceRetention()
 	e.advanceCommands()
 	e.advanceJobRequests()
+	e.advanceTombstones()
 	e.advanceInterference()
 	e.advanceOrphans()
 	e.schedule()
@@ -311,6 +314,7 @@
 	next := e.at.Now.Add(maxTickInterval)
 	next = earliest(next, e.timers.next())
 	next = earliest(next, e.flushAt())
+	next = earliest(next, e.tombstonesDueAt())
 	if updateWake(e.at.Now, next, &e.nextWake) {
 		e.emit(Wake{At: e.nextWake})
 	}
--- a/core/entryask.go
+++ b/core/entryask.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"jayloft/table"
 )
 
 const (
@@ -173,6 +175,10 @@
 		e.answerJobRequest(jr, e.answerSubmission(j, jr))
 		return
 	}
+	if e.isTombstone(jr.Spec.ID) {
+		e.answerJobRequest(jr, answerOfTombstone(JobSubmit))
+		return
+	}
 	if j == nil {
 		if reason := e.checkSubmission(&jr.Spec); reason != ReasonNone {
 			e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: reason, RetryAfter: e.submissionRetryAfter(reason)})
@@ -286,12 +292,32 @@
 		return
 	}
 	if r.Version == 0 {
-		if !e.awaitStored(jr) {
-			e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
-		}
+		e.serveAbsent(jr)
 		return
 	}
+	e.serveFromTable(jr, r)
+}
+
+// serveAbsent serves a request about a job that the table did not hold when it was read.
+func (e *Entry) serveAbsent(jr *openJobRequest) {
+	switch {
+	case e.awaitStored(jr):
+	case jr.Verb == JobStop:
+		e.cancelAbsent(jr)
+	default:
+		e.answerJobRequest(jr, JobAnswer{Outcome: JobNotFound})
+	}
+}
+
+// serveFromTable serves a request from the row that the table has for its job.
+func (e *Entry) serveFromTable(jr *openJobRequest, r table.Row) {
 	e.applyJobRow(r)
+	if rec, err := Decode(r.Key, r.Value); err == nil {
+		if _, ok := rec.(TombstoneRow); ok {
+			e.answerIfOpen(jr, answerOfTombstone(jr.Verb))
+			return
+		}
+	}
 	j := e.jobs[jr.Spec.ID]
 	if j == nil {
 		e.answerJobRequest(jr, JobAnswer{Outcome: JobRefused, Reason: ReasonStore, RetryAfter: e.storeRetryAfter()})
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -53,9 +53,9 @@
 	g.first = append(g.first, rest...)
 }
 
-// groupTxn is a transaction of the commit group. After a lost answer it is resent
-// unchanged: its conditions make that harmless, and the edits detect that the first
-// copy has taken effect.
+// groupTxn is a transaction of the commit group. After a lost answer it is resent, see
+// resend: its conditions make that harmless, and the edits detect that the first copy has
+// taken effect.
 type groupTxn struct {
 	jobs    []*jobView
 	rows    []JobRow
@@ -132,9 +132,7 @@
 func (e *Entry) advanceFlush() {
 	if t := e.group.inFlight; t != nil {
 		if !t.retryAt.IsZero() && !e.at.Now.Before(t.retryAt) {
-			t.retryAt = time.Time{}
-			e.count("retry", ReasonStore)
-			e.emit(Commit{Token: e.expect(pendingGroup{t: t}), Txn: t.txn})
+			e.resend(t)
 		}
 		return
 	}
@@ -317,6 +315,10 @@
 		e.handleFenceAnswered(w, ev)
 	case pendingCommand:
 		e.handleCommandAnswered(w.c, ev)
+	case pendingTombstones:
+		e.handleTombstonesAnswered(ev)
+	case pendingTombstonesRemoved:
+		e.handleTombstonesRemoved(w, ev)
 	case pendingRetention:
 		e.handleRetentionAnswered(w.ids, ev)
 	case pendingRefusals:
@@ -376,6 +378,8 @@
 func (e *Entry) applyConflictRow(r table.Row) {
 	rec, err := Decode(r.Key, r.Value)
 	switch rec.(type) {
+	case TombstoneRow:
+		e.applyJobRow(r)
 	case JobRow:
 		e.applyJobRow(r)
 		if err != nil && r.Version > 0 {
@@ -393,7 +397,7 @@
 // shares with others. The entry that schedules the job knows its state, and replaces the row
 // with the next edit. All other edits of the job are dropped.
 func (e *Entry) handleOddJobRow(r table.Row) {
-	id := JobID(r.Key[len(shardPrefix(0)):])
+	id := jobIDOf(r.Key)
 	j := e.jobs[id]
 	if j == nil {
 		return
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -68,12 +68,13 @@
 
 // applyJobRow updates the view of a job from a row of the table.
 func (e *Entry) applyJobRow(r table.Row) {
-	id := JobID(r.Key[len(shardPrefix(0)):])
+	id := jobIDOf(r.Key)
 	j := e.jobs[id]
 	if j != nil && r.Version <= j.version {
 		return
 	}
 	if r.Deleted {
+		delete(e.tombstones.kept, id)
 		if j != nil {
 			e.forget(id, j)
 		}
@@ -85,6 +86,10 @@
 		e.count("decode", ReasonNone)
 		return
 	}
+	if _, ok := rec.(TombstoneRow); ok {
+		e.applyTombstone(id, r.Version)
+		return
+	}
 	row, ok := rec.(JobRow)
 	if !ok || row.Spec.ID != id {
 		e.logNote("job row passed over", r.Key, "holds another job")
--- a/core/entryretention.go
+++ b/core/entryretention.go
@@ -46,6 +46,7 @@
 	}
 	e.nextRetention = e.at.Now.Add(retentionInterval)
 	e.removeRefusals()
+	e.removeTombstones()
 	ids := e.expiredJobs()
 	if len(ids) == 0 || !e.allowWrite(limit.PriorityLow) {
 		return
@@ -108,7 +109,7 @@
 func (e *Entry) applyRemovalConflicts(rows []table.Row) {
 	for _, r := range rows {
 		if r.Version == 0 {
-			e.forgetRemoved(JobID(r.Key[len(shardPrefix(0)):]))
+			e.forgetRemoved(jobIDOf(r.Key))
 			continue
 		}
 		e.applyJobRow(r)
--- a/core/rowcheck.go
+++ b/core/rowcheck.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// check checks that the row is in the place of the job that it names.
+func (r TombstoneRow) check(key string) error {
+	if r.ID == "" || key != keyJob(r.ID) {
+		return errors.New("holds the tombstone of another job")
+	}
+	return nil
+}
+
 // check checks that the row is of the worker of its key.
 func (r FenceRow) check(key string) error {
 	if key != keyFence(r.Worker) {
--- a/core/rows.go
+++ b/core/rows.go
@@ -278,6 +278,16 @@
 	stored bool
 }
 
+// TombstoneRow takes the key of a JobRow whose cancelling was acknowledged while the table did
+// not hold it: a transaction that stores the job fails from then on. It is encoded as an array,
+// so that entries that don't know it take it for a malformed row and store no job over it.
+type TombstoneRow struct {
+	_       struct{} `cbor:",toarray"`
+	ID      JobID
+	Queue   string    // by which it was cancelled
+	Written time.Time // on the clock of the entry that wrote it
+}
+
 // OpRow records the result of a command in the same transaction as its changes, so
 // that a repeated command is not applied twice. A refusal is recorded if another copy of
 // the command might be carried out otherwise.
@@ -306,6 +316,7 @@
 func (EntryRow) record()        {}
 func (FenceRow) record()        {}
 func (JobRow) record()          {}
+func (TombstoneRow) record()    {}
 func (OpRow) record()           {}
 
 func keyService(n string) string { return PrefixConfig + "service/" + n }
@@ -325,6 +336,9 @@
 func shardPrefix(shard int) string { return fmt.Sprintf("%s%03d/", PrefixJob, shard) }
 func keyJob(id JobID) string       { return shardPrefix(ShardOf(id)) + string(id) }
 
+// jobIDOf returns the job of a job's key.
+func jobIDOf(key string) JobID { return JobID(key[len(shardPrefix(0)):]) }
+
 // ShardOf returns the shard of a job, in [0, Shards).
 func ShardOf(id JobID) int {
 	h := fnv.New32a()
@@ -362,6 +376,8 @@
 		return decodeAs[InterferenceRow](key, b)
 	case strings.HasPrefix(key, PrefixEntry):
 		return decodeAs[EntryRow](key, b)
+	case strings.HasPrefix(key, PrefixJob) && isArray(b):
+		return decodeAs[TombstoneRow](key, b)
 	case strings.HasPrefix(key, PrefixJob):
 		return decodeAs[JobRow](key, b)
 	case strings.HasPrefix(key, PrefixFence):
@@ -372,6 +388,10 @@
 	return nil, fmt.Errorf("decode row %s: no row type has this key prefix", key)
 }
 
+// isArray reports whether a value is encoded as an array: its first three bits are the CBOR
+// major type 4.
+func isArray(b []byte) bool { return len(b) > 0 && b[0]>>5 == 4 }
+
 func decodeAs[R Record](key string, b []byte) (Record, error) {
 	var r R
 	if err := cbor.Unmarshal(b, &r); err != nil {
--- a/fake/oracle.go
+++ b/fake/oracle.go
@@ -42,6 +42,7 @@
 	PointOrder   Point = "order"   // a step starts after those that it waits for
 	PointCount   Point = "count"   // counts of waiting jobs are complete and recent
 	PointState   Point = "state"   // states of jobs are recent
+	PointCancel  Point = "cancel"  // a job that was said not to exist when it was cancelled is never stored
 	PointCrash   Point = "crash"   // a task that crashes workers is given up, and no other one
 )
 
--- a/fake/queuejob.go
+++ b/fake/queuejob.go
@@ -33,6 +33,7 @@
 	sentAt      time.Time // the newest submission
 	acceptedAt  time.Time // when a caller was told so; zero if none was
 	cancelSent  time.Time
+	absentAt    time.Time   // when a cancellation was answered that there is no such job
 	startedAt   time.Time   // of the first attempt that a worker started
 	rows        []storedRow // all that the table has held
 	deletedAt   time.Time
@@ -51,6 +52,13 @@
 	}
 }
 
+// queueJobStored checks that a queue's job which the table did not hold may be stored.
+func (o *Oracle) queueJobStored(j *queueJob) {
+	if !j.absentAt.IsZero() && len(j.rows) == 0 {
+		o.fail(PointCancel, "job %s is stored %s after a cancellation was told that there is no such job", j.id, o.w.now.Sub(j.absentAt))
+	}
+}
+
 // before reports whether a moment is known and not later than t.
 func before(m, t time.Time) bool { return !m.IsZero() && !m.After(t) }
 
--- a/fake/submissions.go
+++ b/fake/submissions.go
@@ -84,7 +84,11 @@
 			j.cancelSent = c.w.now
 		}
 		q := core.JobRequest{Verb: core.JobStop, Path: queuePrefix + string(id)}
-		c.sendJobRequest(e, q, jobRequestLimit, nil, func(core.JobAnswer, core.Fault) {})
+		c.sendJobRequest(e, q, jobRequestLimit, nil, func(a core.JobAnswer, f core.Fault) {
+			if f == core.FaultNone && a.Outcome == core.JobNotFound {
+				j.absentAt = c.w.now
+			}
+		})
 	}
 }
 
--- a/fake/truth.go
+++ b/fake/truth.go
@@ -266,6 +266,7 @@
 // jobWritten compares a job's new row with its old one.
 func (o *Oracle) jobWritten(r core.JobRow) {
 	if j := o.queueJobs[r.Spec.ID]; j != nil {
+		o.queueJobStored(j)
 		j.rows = append(j.rows, storedRow{at: o.w.now, row: r})
 	}
 	old, ok := o.rows[r.Spec.ID]
