core: report failures that an agent learns of after it was fenced

Cause: a fence marks all held tasks as moved, and recordEnd dropped each end of a moved task that was not done, while reconcileEnded let the worker forget it. The claim stands for seconds after a fence, so that an entry would have counted the failure; it released the claim as lost.

Change: an end that outlasts its incarnation (done, crashed, failed) is reported, as recordFinalEnds expects, and forgotten by the worker only once an entry has recorded it.

--- a/core/agentreconcile.go
+++ b/core/agentreconcile.go
@@ -80,7 +80,7 @@
 			e.Kind = EndCancelled
 		}
 		a.recordEnd(t, e)
-		if t.moved && e.Kind != EndDone {
+		if t.moved && !e.outlastsIncarnation() {
 			a.emit(Control{Attempt: w.Attempt, Verb: VerbForget})
 		}
 		return
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -381,8 +381,8 @@
 	}
 }
 
-// recordEnd moves a task from held to ends. The end of an attempt whose claim was moved is
-// of no use, unless the task is done: an entry records that as long as the claim stands.
+// recordEnd moves a task from held to ends. The end of an attempt whose claim is being moved is
+// of no use unless it outlasts the incarnation: an entry records that as long as the claim stands.
 func (a *Agent) recordEnd(t *heldTask, e End) {
 	delete(a.held, t.order.Attempt.Task)
 	e.Saved = cmp.Or(e.Saved, t.saved)
@@ -390,7 +390,7 @@
 		"listed", t.listed, "launched", a.since(t.launchedAt), "inspected", a.since(a.inspectedAt),
 		"deadline", a.since(t.deadline), "granted", a.since(a.grantedUntil), "late", a.since(a.calls.extendedLateUntil()))
 	a.updateUsageRatio(t)
-	if t.moved && e.Kind != EndDone {
+	if t.moved && !e.outlastsIncarnation() {
 		return
 	}
 	if e.Kind == EndFailed || e.Kind == EndLost || e.Kind == EndCrashed {
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"testing"
@@ -18,6 +19,7 @@
 	running      map[core.Attempt]bool
 	refused      map[core.Attempt]bool // stopped or ended here: will never start
 	done         map[core.Attempt]bool // ends that the agent has not made it forget
+	endsAs       core.EndKind          // of these ends; EndDone if empty
 	loseStarts   bool                  // starts get no answer and are only recorded in lateStarts
 	unresponsive bool                  // no call is answered
 	gone         bool                  // it refuses connections
@@ -42,8 +44,9 @@
 		in.Tasks = append(in.Tasks, core.WorkerTask{Attempt: a, Size: noIncSize, Urgent: true, State: core.WorkerRunning})
 	}
 	for a := range w.done {
+		kind := cmp.Or(w.endsAs, core.EndDone)
 		in.Tasks = append(in.Tasks, core.WorkerTask{
-			Attempt: a, Size: noIncSize, Urgent: true, State: core.WorkerEnded, End: core.End{Kind: core.EndDone, Output: "out"},
+			Attempt: a, Size: noIncSize, Urgent: true, State: core.WorkerEnded, End: core.End{Kind: kind, Output: "out"},
 		})
 	}
 	return in
@@ -346,8 +349,18 @@
 
 // A task is done at its worker when its agent is fenced, but the agent learns of it only
 // afterwards: it must still report that, or the task runs again.
-func TestDoneThatIsLearntAfterFence(t *testing.T) {
+func TestDoneThatIsLearntAfterFence(t *testing.T) { checkEndAfterFence(t, core.EndDone) }
+
+// Guards against BUDGET: the failures of runs that an agent learnt of after it had been fenced
+// were dropped, and its worker forgot them: their tasks started again beyond the limit.
+func TestFailureThatIsLearntAfterFence(t *testing.T) { checkEndAfterFence(t, core.EndFailed) }
+
+// checkEndAfterFence checks that an end which an agent learns of after it has been fenced is
+// reported, and forgotten only once an entry has recorded it.
+func checkEndAfterFence(t *testing.T, kind core.EndKind) {
+	t.Helper()
 	w := newNoIncWorker()
+	w.endsAs = kind
 	n := newNoIncAgent(t, w)
 	n.order(noIncAttempt)
 	n.run(500 * time.Millisecond)
@@ -359,7 +372,7 @@
 	w.unresponsive = false
 	n.run(2 * time.Second)
 	assert.Equal(t, len(n.last.Ends), 1)
-	assert.Equal(t, n.last.Ends[0].Kind, core.EndDone)
+	assert.Equal(t, n.last.Ends[0].Kind, kind)
 	assert.Assert(t, w.done[noIncAttempt], "the worker may forget the end only once the table holds it")
 }
 
