core: run jobs also on the service that their queue has now

Cause: the service of the submission is part of the job, and unfit looked at that alone.

Change: a worker fits if it runs the service of the submission or the one that the job's queue has now, by its route or its name. The configuration keeps an index of both, so that a scan costs a look-up a task.

--- a/core/conf.go
+++ b/core/conf.go
@@ -13,6 +13,10 @@
 	rev     uint64 // table version of KeyVersion; zero before the first read
 	changes uint64 // number of changes, as shown to operators
 
+	// serviceOfRoute and serviceOfName are the services of the queues, see serviceNow.
+	serviceOfRoute map[Route]string
+	serviceOfName  map[string]string
+
 	delta      []table.Row // the last result of agentRowsSince; nil after a change
 	deltaSince uint64      // the revision that delta was computed for
 }
@@ -33,6 +37,7 @@
 	}
 	if v.rows == nil || full {
 		v.rows = map[string]confRow{}
+		v.indexQueues()
 	}
 	v.delta = nil
 	var errs []error
@@ -53,15 +58,18 @@
 
 // put decodes a row and stores it in the view.
 func (v *confView) put(r table.Row) error {
-	if r.Deleted {
-		v.rows[r.Key] = confRow{row: r}
-		return nil
+	row := confRow{row: r}
+	if !r.Deleted {
+		rec, err := Decode(r.Key, r.Value)
+		if err != nil {
+			return err
+		}
+		row.rec = rec
 	}
-	rec, err := Decode(r.Key, r.Value)
-	if err != nil {
-		return err
+	v.rows[r.Key] = row
+	if r.Key == KeyQueues {
+		v.indexQueues()
 	}
-	v.rows[r.Key] = confRow{row: r, rec: rec}
 	return nil
 }
 
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -241,7 +241,7 @@
 }
 
 // unfit returns the workers on which a task of a job with steps must not run: those
-// that don't run the job's service, lack the step's label, or already hold the
+// that don't run a service of the job's queue, lack the step's label, or already hold the
 // maximum number of the step's tasks per worker.
 func (e *Entry) unfit(j *jobView, n int, st StepSpec) []string {
 	spec := &j.row.Spec
@@ -249,8 +249,10 @@
 		return nil
 	}
 	var ids []string
+	serviceNow := e.config.serviceNow(spec)
 	for _, id := range e.workerIDs() {
-		if !e.workers[id].serves(spec.Service) || !e.workers[id].hasLabel(st.Label) {
+		w := e.workers[id]
+		if !w.serves(spec.Service) && !w.serves(serviceNow) || !w.hasLabel(st.Label) {
 			ids = append(ids, string(id))
 		}
 	}
--- a/core/entryroute.go
+++ b/core/entryroute.go
@@ -39,6 +39,35 @@
 	return route
 }
 
+// indexQueues notes the services of the queues.
+func (v *confView) indexQueues() {
+	row, _ := v.rows[KeyQueues].rec.(QueuesRow)
+	v.serviceOfRoute = make(map[Route]string, len(row.Queues))
+	v.serviceOfName = make(map[string]string, len(row.Queues))
+	for _, q := range row.Queues {
+		v.serviceOfRoute[q.Route()] = q.Service
+		v.serviceOfName[q.Name] = q.Service
+	}
+}
+
+// serviceNow returns the service of the queue that a job belongs to by the present
+// configuration; that of its submission if there is no such queue. A job may run on workers of
+// both: the operator may have moved the queue and taken the last worker of the former away.
+func (v *confView) serviceNow(job *JobSpec) string {
+	if job.Queue == "" {
+		return job.Service
+	}
+	if job.Route != (Route{}) {
+		if s, ok := v.serviceOfRoute[job.Route]; ok {
+			return s
+		}
+	}
+	if s, ok := v.serviceOfName[job.Queue]; ok {
+		return s
+	}
+	return job.Service
+}
+
 // hasQueue reports whether the configuration has a queue of the name.
 func (v *confView) hasQueue(name string) bool {
 	row, _ := v.rows[KeyQueues].rec.(QueuesRow)
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -44,7 +44,8 @@
 // shape is what the search for a worker depends on besides the size: a task that needs as
 // much as one that found no room, or more, finds none either.
 type shape struct {
-	service     string
+	service     string // at the submission
+	serviceNow  string // of the job's queue
 	label       string
 	image       string // of a task that may interfere with others
 	bestEffort  bool
@@ -209,7 +210,7 @@
 	spec := &j.row.Spec
 	st := spec.Step(w.task.N)
 	sh = shape{
-		service: spec.Service, label: st.Label, bestEffort: st.BestEffort, longRunning: st.LongRunning,
+		service: spec.Service, serviceNow: e.config.serviceNow(spec), label: st.Label, bestEffort: st.BestEffort, longRunning: st.LongRunning,
 		urgent: w.mayPreempt, overdue: e.isOverdue(j, w), quarantine: e.mayUseQuarantined(w),
 	}
 	switch {
--- a/core/rename_test.go
+++ b/core/rename_test.go
@@ -120,6 +120,35 @@
 	}
 }
 
+// Guards against LOST: jobs stayed with the service that their queue had when they were submitted,
+// also once the operator had moved the queue to another one and taken that service's workers away.
+func TestJobOfMovedQueueRunsOnItsNewService(t *testing.T) {
+	without := queueAt("a", "h.example", "/q/")
+	without.Service = "none"
+	moved := queueAt("a", "h.example", "/q/")
+	renamed := queueAt("b", "h.example", "/q/")
+	rerouted := queueAt("a", "h.example", "/other/")
+	for _, now := range []core.QueueRow{moved, renamed, rerouted} {
+		s := newQueueScene(t, without)
+		assert.Equal(t, s.ask(core.JobSubmit, "h.example", "/q/0123456789abcdef").Outcome, core.JobAccepted)
+		s.pass()
+		assert.Equal(t, len(s.orders), 0, "started on a worker of another service")
+		s.configure(now)
+		assert.Equal(t, len(s.orders), 1, "not started once its queue is %+v", now)
+	}
+}
+
+// Guards against ROUTE: a job starts on no worker of a service that its queue never had.
+func TestJobOfRemovedQueueKeepsItsService(t *testing.T) {
+	without := queueAt("a", "h.example", "/q/")
+	without.Service = "none"
+	s := newQueueScene(t, without)
+	assert.Equal(t, s.ask(core.JobSubmit, "h.example", "/q/0123456789abcdef").Outcome, core.JobAccepted)
+	s.configure(queueAt("z", "h.example", "/z/"))
+	s.pass()
+	assert.Equal(t, len(s.orders), 0)
+}
+
 // Guards against a loss in an update: a row that an older build has written names no route.
 func TestJobOfOlderBuildStaysKnownAsItsQueueIsRenamed(t *testing.T) {
 	s := newQueueScene(t, queueAt("a", "", "/q/"))
