core: write each job's row once in a transaction

Cause: after a conflict a job stands in group.first. An edit that has become redundant adds a further edit while the row is made, which lists the job in group.dirty too, and buildOf went on to that list: the second write, made from the same row, overwrote the edits of the first.

Change: a job that is in the transaction already stays on its list for the next one.

--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -192,7 +192,9 @@
 	return t
 }
 
-// addJobs adds jobs of a list to a transaction until it is full, and takes them off the list.
+// addJobs adds jobs of a list to a transaction until it is full, and takes them off the list. A
+// job that is in the transaction already has got further edits since: they are left for the next
+// one, as each is made from the row before it.
 func (e *Entry) addJobs(t *groupTxn, list *[]*jobView, conds map[string]uint64) {
 	jobs := *list
 	*list = nil
@@ -201,6 +203,10 @@
 			*list = append(*list, jobs[i:]...)
 			return
 		}
+		if len(j.inFlight) > 0 {
+			*list = append(*list, j)
+			continue
+		}
 		j.dirty = false
 		e.addJob(t, j, conds)
 		e.markDirty(j) // some of its edits may be left for the next transaction
