core: cancel the steps behind a task that can never run

Jobs of queues are never parked; those of operators are.

Cause: failTaskEdit failed the task and nothing else; only a failure by the end of an attempt (giveUp) cancels the rest of a job with steps.

Change: both do (cancelRest), and the edit goes on with the job as an end does.

--- a/core/edit.go
+++ b/core/edit.go
@@ -183,11 +183,15 @@
 		t.State = TaskFailed
 		t.Reason = clipReason(t.crashReason())
 	}
-	if t.State == TaskFailed && len(r.Spec.Steps) > 0 {
-		r.Cancel = true
+	if t.State == TaskFailed {
+		r.cancelRest()
 	}
 }
 
+// cancelRest cancels what is left of a job with steps, one of whose tasks has failed for good:
+// the steps after it would wait for ever.
+func (r *JobRow) cancelRest() { r.Cancel = r.Cancel || len(r.Spec.Steps) > 0 }
+
 // nextState returns the task's state after the end of an attempt.
 func (ed endEdit) nextState(r *JobRow, t *TaskRow, p *Policy) TaskState {
 	longRunning := r.Spec.Step(ed.task()).LongRunning
@@ -277,6 +281,7 @@
 		return editRedundant
 	}
 	t.State, t.Reason = TaskFailed, ed.reason
+	r.cancelRest()
 	return editApplied
 }
 
--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -435,7 +435,9 @@
 		}
 		j.noteHandedBack(ed.end, ed.worker)
 		e.noteOrphanStored(ed)
-		e.advanceStep(j, ed)
+		e.advanceStep(j, ed.task())
+	case failTaskEdit:
+		e.advanceStep(j, ed.task())
 	}
 	e.reconcileEdit(j, ed)
 	if j.foreign {
@@ -459,13 +461,13 @@
 	e.reconcile(j, ed.task())
 }
 
-// advanceStep continues a job with steps after the end of an attempt: it makes
-// dependent steps eligible, or stops the rest of a job that has failed.
-func (e *Entry) advanceStep(j *jobView, ed endEdit) {
+// advanceStep continues a job with steps after a task has ended: it makes dependent steps
+// eligible, or stops the rest of a job that has failed.
+func (e *Entry) advanceStep(j *jobView, task int) {
 	if len(j.row.Spec.Steps) == 0 {
 		return
 	}
-	step, _ := j.row.Spec.Locate(ed.task())
+	step, _ := j.row.Spec.Locate(task)
 	if j.row.Cancel {
 		e.stopClaims(j)
 	}
--- a/core/regressseed_test.go
+++ b/core/regressseed_test.go
@@ -24,6 +24,10 @@
 			variant: script.withCrashes, seeds: []int{20090},
 			cause: "one transaction wrote a job's row twice",
 		},
+		{
+			variant: script.withSteps, seeds: []int{20108, 20248, 40155, 40279},
+			cause: "steps waited for ever behind tasks that were parked",
+		},
 	}
 	for _, tc := range tests {
 		for _, seed := range tc.seeds {
