core: leave long-running tasks of a fenced agent to their lease

Cause: fence stops all that the agent holds. Its lease still holds for up to 2.5 s then, and entries release its claims only once that is certainly over.

Change: started long-running tasks run on until their lease ends, which is not extended any more; what is left after it is stopped. The new incarnation begins then, and with it the release of its other claims.

--- a/core/agent.go
+++ b/core/agent.go
@@ -167,6 +167,7 @@
 	}
 	a.advanceInspection()
 	a.advanceDying()
+	a.advanceFenced()
 	a.expireQueue()
 	a.advanceDrain()
 	a.advanceIsolation()
--- a/core/agentbeat.go
+++ b/core/agentbeat.go
@@ -175,7 +175,9 @@
 	}
 }
 
-// fence stops all tasks of this incarnation, because its claims are being moved.
+// fence stops the tasks of this incarnation, because its claims are being moved. Long-running
+// tasks are left to their lease, which entries wait for: they are at work until then, and stops
+// would end more of a step at once than its disruption budget allows.
 func (a *Agent) fence() {
 	if !a.fenced {
 		a.logNote("fenced", string(a.inc), "claims move elsewhere")
@@ -184,11 +186,24 @@
 	a.fenced = true
 	for _, t := range a.heldByUnsavedWork() {
 		t.moved = true
-		a.stop(t, EndCancelled, "fenced")
+		if !t.order.LongRunning || !t.started {
+			a.stop(t, EndCancelled, "fenced")
+		}
 	}
+	a.advanceFenced()
 	a.rejoin()
 }
 
+// advanceFenced stops what a fenced incarnation still holds once its lease has certainly expired.
+func (a *Agent) advanceFenced() {
+	if !a.fenced || !a.at.Now.After(a.leaseEnd().Add(a.pol.Drift)) {
+		return
+	}
+	for _, t := range a.heldByUnsavedWork() {
+		a.stop(t, EndCancelled, "fenced")
+	}
+}
+
 // rejoin starts a new incarnation once a fenced one holds no tasks.
 func (a *Agent) rejoin() {
 	if a.fenced && len(a.held) == 0 {
--- a/core/agentinspect.go
+++ b/core/agentinspect.go
@@ -43,7 +43,7 @@
 // needsLease reports whether some task is to run on at the worker.
 func (a *Agent) needsLease() bool {
 	for _, t := range a.held {
-		if t.started && t.stopping == "" {
+		if t.started && t.stopping == "" && !t.moved {
 			return true
 		}
 	}
--- a/core/nameless_test.go
+++ b/core/nameless_test.go
@@ -24,6 +24,7 @@
 	unresponsive bool                  // no call is answered
 	gone         bool                  // it refuses connections
 	broken       bool                  // the connections of inspections break
+	extensions   int                   // inspections that extend the lease
 	lost         int                   // inspections without an answer
 	lostDeadline time.Time             // of the last one that carried one
 	lateStarts   []core.Launch
@@ -102,6 +103,9 @@
 func (n *noIncAgent) execute(eff core.AgentEffect) core.AgentEvent {
 	switch eff := eff.(type) {
 	case core.Inspect:
+		if !eff.Deadline.IsZero() {
+			n.w.extensions++
+		}
 		if n.w.gone {
 			return core.Inspected{Fault: core.FaultNotSent}
 		}
@@ -172,10 +176,17 @@
 	assert.Assert(n.t, n.w.lost < tries, "no such inspection")
 }
 
-func (n *noIncAgent) order(a core.Attempt) {
-	n.reduce(core.StartAsked{Token: 1, Order: core.Order{
-		Attempt: a, Holder: core.Holder{Worker: "w", Inc: n.last.Inc}, Echo: n.last.Sent, Size: noIncSize, Urgent: true,
-	}})
+func (n *noIncAgent) order(a core.Attempt) { n.start(core.Order{Attempt: a}) }
+
+func (n *noIncAgent) orderLongRunning(a core.Attempt) {
+	n.start(core.Order{Attempt: a, LongRunning: true})
+}
+
+// start sends an order of an entry.
+func (n *noIncAgent) start(o core.Order) {
+	o.Holder, o.Echo = core.Holder{Worker: "w", Inc: n.last.Inc}, n.last.Sent
+	o.Size, o.Urgent = noIncSize, true
+	n.reduce(core.StartAsked{Token: 1, Order: o})
 }
 
 func newNoIncWorker() *noIncWorker {
@@ -347,6 +358,30 @@
 	assert.Equal(t, n.last.Inc, second)
 }
 
+// Guards against AVAIL: a fenced agent stopped all tasks of a long-running step on its sound worker
+// at once, seconds before their lease ended, which entries wait for.
+func TestFencedAgentLeavesLongRunningTasksToTheirLease(t *testing.T) {
+	p := longPollPolicy()
+	n := newNoIncAgent(t, newNoIncWorker(), core.WithPolicy(p))
+	batch := core.Attempt{Task: core.TaskID{Job: "batch"}, Number: 1}
+	n.orderLongRunning(noIncAttempt)
+	n.order(batch)
+	n.run(500 * time.Millisecond)
+	fenced := n.last.Inc
+	n.fenced[fenced] = true
+	n.run(2500 * time.Millisecond)
+	assert.Assert(t, !n.w.running[batch])
+	assert.Assert(t, n.w.running[noIncAttempt], "stopped while its lease holds")
+	assert.Assert(t, n.last.Leaving, "a fenced agent gets new work")
+	assert.Equal(t, n.last.Inc, fenced)
+	n.w.extensions = 0
+	n.run(p.Lease + p.Drift)
+	assert.Equal(t, n.w.extensions, 0, "the lease of a fenced incarnation is extended")
+	assert.Assert(t, !n.w.running[noIncAttempt], "still running after its lease")
+	n.run(time.Second)
+	assert.Assert(t, n.last.Inc != fenced)
+}
+
 // A task is done at its worker when its agent is fenced, but the agent learns of it only
 // afterwards: it must still report that, or the task runs again.
 func TestDoneThatIsLearntAfterFence(t *testing.T) { checkEndAfterFence(t, core.EndDone) }
