--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -210,7 +210,7 @@
 			End: EndToWire(core.End{Attempt: attempt, Kind: core.EndDone, Output: "o", Reason: "why", Saved: "p", Started: true, Crash: crash.Evidence{Ran: 3, Alone: true}}),
 		}},
 	})
-	in.Fault, in.CopyLost = core.FaultNoAnswer, true // not from the wire
+	in.Fault, in.CopyLost, in.Broken = core.FaultNoAnswer, true, true // not from the wire
 	assert.Equal(t, len(in.Unread), 0)
 	in.Unread = []core.TaskID{attempt.Task} // not from the wire, whose messages are typed
 	assertAllFieldsSet(t, in)
