core: drop jobs that nobody waits for after conflicts too

Cause: only a transaction that was sent again was searched for new jobs whose callers had all been answered.

Change: addJob drops them as well. While the circuit breaker is open, tombstones that are due ask for no wake-up before its next probe.

--- a/core/entrygroup.go
+++ b/core/entrygroup.go
@@ -215,6 +215,10 @@
 // addJob adds a job's row and its conditions to a transaction. Edits that exceed the
 // transaction's limit of clauses are left for the next one.
 func (e *Entry) addJob(t *groupTxn, j *jobView, conds map[string]uint64) {
+	if e.isAbandoned(j) {
+		e.abandon(j)
+		return
+	}
 	row := j.row.copyTasks()
 	edits := j.edits
 	j.edits = nil
--- a/core/entryresend.go
+++ b/core/entryresend.go
@@ -52,17 +52,25 @@
 	return slices.DeleteFunc(slices.Clone(conds), func(c table.Cond) bool { return c.Key == key })
 }
 
-// isAbandoned reports whether a job is not known to be stored and no caller waits for that.
+// isAbandoned reports whether a job is to be stored, as far as is known, and no caller waits for
+// that.
 func (e *Entry) isAbandoned(j *jobView) bool {
-	return !j.row.stored && hasEdit(j.inFlight, createEdit{}) && !slices.ContainsFunc(j.waiters, func(jr *openJobRequest) bool {
+	if j.row.stored || !hasEdit(j.inFlight, createEdit{}) && !hasEdit(j.edits, createEdit{}) {
+		return false
+	}
+	return !slices.ContainsFunc(j.waiters, func(jr *openJobRequest) bool {
 		return jr.Verb == JobSubmit && e.jobRequests[jr.token] == jr && e.at.Now.Sub(jr.receivedAt) < maxCreationAge
 	})
 }
 
-// abandon drops a job that was sent to the table and is not sent again. Requests that wait for
-// it are served from the table.
+// abandon drops a job that is not sent to the table any more. Requests that wait for it are
+// served from the table: it may hold the job, if that was sent before.
 func (e *Entry) abandon(j *jobView) {
 	id := j.row.Spec.ID
+	answer := JobAnswer{Outcome: JobRefused, Reason: ReasonDeadline, RetryAfter: e.storeRetryAfter()}
+	if j.everSent {
+		answer = JobAnswer{Outcome: JobUnknown, Reason: ReasonDeadline}
+	}
 	e.logEvent("job dropped", string(id), "reason", "its callers were answered", "waiters", len(j.waiters))
 	waiters := j.waiters
 	j.waiters, j.edits, j.inFlight = nil, nil, nil
@@ -71,7 +79,7 @@
 		switch {
 		case e.jobRequests[jr.token] != jr:
 		case jr.Verb == JobSubmit:
-			e.answerJobRequest(jr, JobAnswer{Outcome: JobUnknown, Reason: ReasonDeadline})
+			e.answerJobRequest(jr, answer)
 		default:
 			e.lookUpOrCancel(jr)
 		}
--- a/core/entrytombstone.go
+++ b/core/entrytombstone.go
@@ -68,10 +68,15 @@
 // tombstonesDueAt returns when the next transaction that writes tombstones may be sent; zero if
 // there is none to send.
 func (e *Entry) tombstonesDueAt() time.Time {
-	if ts := &e.tombstones; len(ts.due) > 0 && len(ts.inFlight) == 0 {
-		return latest(ts.next, e.writes.NextAllowed(e.at.Now, limit.PriorityHigh))
+	ts := &e.tombstones
+	if len(ts.due) == 0 || len(ts.inFlight) > 0 {
+		return time.Time{}
+	}
+	next := latest(ts.next, e.writes.NextAllowed(e.at.Now, limit.PriorityHigh))
+	if e.breaker.IsOpen(e.at.Now) {
+		next = latest(next, e.breaker.NextProbe(e.at.Now))
 	}
-	return time.Time{}
+	return next
 }
 
 // advanceTombstones writes the tombstones that are due.
--- a/core/tombstone_test.go
+++ b/core/tombstone_test.go
@@ -277,6 +277,25 @@
 	assert.Equal(t, rows, 0, "tombstones are left")
 }
 
+// Guards against the same after a conflict: the job is put first in the next transaction, which an
+// outage of the table may hold up for as long.
+func TestJobOfCallerThatWasAnsweredIsNotSentAfterConflict(t *testing.T) {
+	h := newEntryHarness(t)
+	h.submit()
+	create := mustFind[core.Commit](h)
+	h.now = h.now.Add(2 * time.Second) // beyond the caller's deadline
+	fence := h.row(core.PrefixFence+"w", core.FenceRow{Worker: "w"})
+	h.post(core.CommitAnswered{Token: create.Token, Result: table.Result{Conflicts: []table.Row{fence}}})
+	outcomes := h.serveTable(func(c core.Commit) core.CommitAnswered {
+		for _, w := range c.Txn.Writes {
+			assert.Assert(t, w.Key != core.KeyJob(testJob), "stored though nobody waits for it")
+		}
+		return h.committed(c)
+	})
+	maps.Copy(outcomes, h.passServing(time.Second, h.committed))
+	assert.DeepEqual(t, outcomes, map[core.Token]core.JobOutcome{77: core.JobUnknown})
+}
+
 // Guards against work that nobody expects any more: an entry stored a job a partition later, long
 // after its caller had been told that the outcome is unknown.
 func TestJobOfCallerThatWasAnsweredIsNotSentAgain(t *testing.T) {
