--- a/core/entryask.go
+++ b/core/entryask.go
@@ -238,7 +238,7 @@
 
 // lookUpOrCancel answers from memory if the job's row is known and, for its state, recent
 // enough, and waits for a submission in progress. Otherwise it reads the row: only a read
-// proves that there is no such job.
+// shows that there is no such job now, and only a tombstone that there never will be.
 func (e *Entry) lookUpOrCancel(jr *openJobRequest) {
 	j := e.jobs[jr.Spec.ID]
 	if j != nil && j.row.stored && (jr.Verb == JobStop || e.isCurrent(j)) {
