core: hold a claim to the row that it is written to

Change: a claim is void, and its task decided anew, unless what it was decided by holds in the row that it is written to: the bound on the step's tasks per worker, the steps before it, and the task's record of crashes, by which it runs apart. A home that could not read the table reads its shards anew before it places anything of theirs, and reads them in each round for one EntryTimeout, while the other homes hand them back. The fakes' oracle checks the bound.

--- a/core/edit.go
+++ b/core/edit.go
@@ -33,6 +33,9 @@
 	holder Holder
 	dc     DC
 	by     EntryID
+	// crashes is the task's record when the claim was decided: whether the attempt runs apart
+	// from other jobs was decided by it.
+	crashes crash.Record
 }
 
 // endEdit releases a claim because its attempt has ended.
@@ -93,18 +96,47 @@
 func (ed cancelTaskEdit) task() int { return ed.n }
 func (ed failTaskEdit) task() int   { return ed.n }
 
-func (ed claimEdit) apply(r *JobRow, _ *Policy) editResult {
+func (ed claimEdit) apply(r *JobRow, p *Policy) editResult {
 	t := &r.Tasks[ed.n]
 	if t.State == TaskClaimed && t.Attempt == ed.number && t.Holder == ed.holder && t.By == ed.by {
 		return editRedundant
 	}
-	if t.State != TaskWaiting || r.Cancel || t.Attempt+1 != ed.number {
+	if t.State != TaskWaiting || r.Cancel || t.Attempt+1 != ed.number || !ed.isAllowed(r, p) {
 		return editVoid
 	}
 	t.State, t.Attempt, t.Holder, t.By = TaskClaimed, ed.number, ed.holder, ed.by
 	return editApplied
 }
 
+// isAllowed reports whether what the claim was decided by beyond the task's own state holds in
+// the row: the steps before it, the bound on the step's tasks per worker, and the task's
+// crashes. Another home may have written the row since.
+func (ed claimEdit) isAllowed(r *JobRow, p *Policy) bool {
+	if !p.on(guardRow) {
+		return true
+	}
+	bound := r.Spec.Step(ed.n).MaxPerWorker
+	return r.Tasks[ed.n].Crashes == ed.crashes &&
+		(!p.on(guardSteps) || r.dependenciesDone(ed.n)) &&
+		(bound == 0 || r.claimsOn(ed.holder.Worker, ed.n) < bound)
+}
+
+// claimsOn returns the number of tasks of a task's step that are claimed for the worker.
+func (r *JobRow) claimsOn(id WorkerID, n int) int {
+	if len(r.Spec.Steps) == 0 {
+		return 0
+	}
+	step, index := r.Spec.Locate(n)
+	first := n - index
+	held := 0
+	for _, t := range r.Tasks[first : first+r.Spec.Steps[step].Count] {
+		if t.State == TaskClaimed && t.Holder.Worker == id {
+			held++
+		}
+	}
+	return held
+}
+
 func (ed endEdit) apply(r *JobRow, p *Policy) editResult {
 	t := &r.Tasks[ed.task()]
 	number := ed.end.Attempt.Number
--- a/core/entry.go
+++ b/core/entry.go
@@ -50,12 +50,13 @@
 	heartbeats   uint64
 	nextAnnounce time.Time // when this entry's own row is next written
 
-	shards [Shards]shardView
-	jobs   map[JobID]*jobView
-	queue  taskQueue
-	group  commitGroup
-	quota  limit.Quota
-	load   loadView
+	shards      [Shards]shardView
+	rereadUntil time.Time // until when loaded shards are read in each round, see distrustShards
+	jobs        map[JobID]*jobView
+	queue       taskQueue
+	group       commitGroup
+	quota       limit.Quota
+	load        loadView
 
 	orphans orphanReads
 
--- a/core/entryjob.go
+++ b/core/entryjob.go
@@ -15,6 +15,9 @@
 	rowBytes int
 	shard    int
 	foreign  bool // of another entry's shard; kept only while edits or requests are pending
+	// stale is set while the view may lack what another home has decided meanwhile: nothing is
+	// placed by it until the shard is read.
+	stale bool
 
 	stepTimes map[int]stepRuntimes // by step, of tasks that this entry saw start and complete
 	waiters   []*openJobRequest    // requests that wait for a job-wide edit
@@ -98,7 +101,7 @@
 	if j == nil {
 		j = e.newJob(row)
 	}
-	row.stored = true
+	row.stored, j.stale = true, false
 	j.foreign = !e.shards[j.shard].owned
 	j.row, j.version, j.rowBytes = row, r.Version, len(r.Value)
 	e.reconcileAll(j)
--- a/core/entrymember.go
+++ b/core/entrymember.go
@@ -203,13 +203,36 @@
 func (e *Entry) adoptShard(s int) {
 	for _, id := range e.jobIDs(s) {
 		j := e.jobs[id]
-		j.foreign = false
+		j.foreign, j.stale = false, j.row.stored
 		for n := range j.row.Tasks {
 			e.reconcile(j, n)
 		}
 	}
 }
 
+// distrustShards has the owned shards read anew before anything of theirs is placed: this entry
+// could not read them for so long that other homes have taken them over. They take some rounds
+// to hand them back, in which the shards are read in each round.
+func (e *Entry) distrustShards() {
+	e.rereadUntil = e.at.Now.Add(e.pol.EntryTimeout)
+	for s := range e.shards {
+		if !e.shards[s].owned {
+			continue
+		}
+		e.shards[s].loaded = false
+		e.setStale(s, true)
+	}
+}
+
+// setStale marks the jobs of a shard that the table holds as stale, or as read.
+func (e *Entry) setStale(shard int, stale bool) {
+	for _, j := range e.jobs {
+		if j.shard == shard {
+			j.stale = stale && j.row.stored
+		}
+	}
+}
+
 // dropShard forgets the jobs of a shard that another entry owns now. Edits in flight
 // are not withdrawn: their conditions keep them safe.
 func (e *Entry) dropShard(s int) {
@@ -236,7 +259,7 @@
 	loading := 0
 	for s := range e.shards {
 		sh := &e.shards[s]
-		if !sh.owned || sh.reading || sh.loaded && e.at.Now.Before(sh.next) {
+		if !sh.owned || sh.reading || sh.loaded && e.at.Now.Before(sh.next) && !e.at.Now.Before(e.rereadUntil) {
 			continue
 		}
 		if !sh.loaded && loading >= maxShardLoads {
@@ -270,9 +293,14 @@
 	if !sh.owned || w.since != sh.since {
 		return // handed over meanwhile, and maybe taken back: its jobs before since were forgotten
 	}
+	first := !sh.loaded
 	sh.loaded, sh.asOf = true, sh.began
 	sh.since = max(sh.since, ev.View.Revision)
 	for _, r := range ev.View.Rows {
 		e.applyJobRow(r)
 	}
+	if first {
+		e.setStale(w.shard, false)
+		e.queue.blocked = false
+	}
 }
--- a/core/entryplace.go
+++ b/core/entryplace.go
@@ -88,7 +88,9 @@
 	e.logEvent("task placed", Attempt{Task: t, Number: number}.String(), "worker", string(w.id), "inc", string(w.inc),
 		"free", w.heartbeat.Capacity.Minus(w.heartbeat.Committed).Millicores, "size", j.row.Spec.Step(t.N).Size.Millicores,
 		"adds", adds, "heard", e.at.Now.Sub(w.heartbeatAt).String(), "due", j.row.Deadline().Sub(e.at.Now).String(), "isolated", isolated)
-	e.addEdit(j, claimEdit{n: t.N, number: number, holder: h, dc: w.heartbeat.DC, by: e.self.ID})
+	e.addEdit(j, claimEdit{
+		n: t.N, number: number, holder: h, dc: w.heartbeat.DC, by: e.self.ID, crashes: j.row.Tasks[t.N].Crashes,
+	})
 	return true
 }
 
--- a/core/entryread.go
+++ b/core/entryread.go
@@ -114,11 +114,13 @@
 }
 
 // excuseUnreadTime keeps the time in which this entry could not read the table from
-// counting against its peers, whose rows may have changed unseen or could not be written.
+// counting against its peers, whose rows may have changed unseen or could not be written. They
+// may have taken its shards over.
 func (e *Entry) excuseUnreadTime(gap time.Duration) {
 	if e.round.asOf.IsZero() || gap < e.pol.EntryTimeout {
 		return
 	}
+	e.distrustShards()
 	for _, p := range e.peers {
 		p.changed = earliest(p.changed.Add(gap), e.round.startedAt)
 	}
--- a/core/entryscan.go
+++ b/core/entryscan.go
@@ -28,7 +28,7 @@
 	placed   int
 	failures int              // searches that found no room, in this list
 	searches int              // those of all lists
-	suspects int              // tasks that wait for a worker of their own
+	suspects int              // tasks that wait for a worker of their own, or for a read of their job
 	cut      bool             // tasks are left that were not considered
 	steps    map[stepKey]bool // steps with a task that found no room
 	shapes   map[shape][]Size // needs that found no room
@@ -167,6 +167,11 @@
 		return true
 	}
 	n := w.task.N
+	if j.stale {
+		j.waitReasons[n] = ReasonStale
+		s.suspects++ // it is considered again once the shard is read
+		return false
+	}
 	step := stepKey{e.stepOf(w.task), e.isOverdue(j, w)}
 	if s.steps[step] {
 		return false
--- a/core/policy.go
+++ b/core/policy.go
@@ -228,6 +228,7 @@
 	guardClaimFence                    // entry: a claim is conditional on the fence row
 	guardAmbiguous                     // entry: a non-idempotent request that may have run is not sent again
 	guardSteps                         // entry: a step waits for the steps before it
+	guardRow                           // entry: a claim holds on the row that it is written to
 )
 
 // on reports whether the protection is enabled.
--- a/fake/action.go
+++ b/fake/action.go
@@ -25,6 +25,8 @@
 	Steps bool
 	// LongRunning makes a job of long-running tasks with a tail-latency target.
 	LongRunning bool
+	// MaxPerWorker bounds the tasks of a step on one worker, if it is above zero.
+	MaxPerWorker int
 }
 
 // Cancel cancels the last jobs that were submitted.
--- a/fake/do.go
+++ b/fake/do.go
@@ -76,15 +76,15 @@
 		spec.Size = core.Size{Millicores: 1000, MemoryMB: 1000}
 	}
 	if a.LongRunning {
-		spec.Steps = []core.StepSpec{{Count: a.Tasks, Size: spec.Size, LongRunning: true, Target: targetLatency, Image: a.Class}}
+		spec.Steps = []core.StepSpec{{Count: a.Tasks, Size: spec.Size, LongRunning: true, Target: targetLatency, Image: a.Class, MaxPerWorker: a.MaxPerWorker}}
 		w.client.submit(a.Entry, spec)
 		return
 	}
 	if a.Steps && a.Tasks > 1 {
 		first := a.Tasks / 2
 		spec.Steps = []core.StepSpec{
-			{Count: first, Size: spec.Size},
-			{Count: a.Tasks - first, Size: spec.Size, After: []int{0}},
+			{Count: first, Size: spec.Size, MaxPerWorker: a.MaxPerWorker},
+			{Count: a.Tasks - first, Size: spec.Size, After: []int{0}, MaxPerWorker: a.MaxPerWorker},
 		}
 		w.client.submit(a.Entry, spec)
 		return
--- a/fake/oracle.go
+++ b/fake/oracle.go
@@ -43,6 +43,7 @@
 	PointCount   Point = "count"   // counts of waiting jobs are complete and recent
 	PointState   Point = "state"   // states of jobs are recent
 	PointCancel  Point = "cancel"  // a job that was said not to exist when it was cancelled is never stored
+	PointSpread  Point = "spread"  // no worker holds more tasks of a step than the step allows
 	PointCrash   Point = "crash"   // a task that crashes workers is given up, and no other one
 )
 
--- a/fake/truth.go
+++ b/fake/truth.go
@@ -309,10 +309,26 @@
 	case core.TaskClaimed:
 		if t.Attempt != old.Attempt || t.Holder != old.Holder {
 			o.claimed(a, t.Holder)
+			o.spreads(a, job, t.Holder.Worker)
 		}
 	}
 }
 
+// spreads checks that a new claim keeps to the step's bound on tasks per worker.
+func (o *Oracle) spreads(a core.Attempt, job core.JobRow, id core.WorkerID) {
+	step, _ := job.Spec.Locate(a.Task.N)
+	bound := job.Spec.Step(a.Task.N).MaxPerWorker
+	held := 0
+	for n, t := range job.Tasks {
+		if s, _ := job.Spec.Locate(n); s == step && t.State == core.TaskClaimed && t.Holder.Worker == id {
+			held++
+		}
+	}
+	if bound > 0 && held > bound {
+		o.fail(PointSpread, "%s makes %d tasks of its step on worker %s, which may hold %d", a, held, id, bound)
+	}
+}
+
 // claimed checks a new claim against the rows that it rests on.
 func (o *Oracle) claimed(a core.Attempt, h core.Holder) {
 	if o.fences[h.Worker].Has(h.Inc) {
