io: bound what the clients of a process make it hold

A setting `memory` gives the bounds; the deployment fills it in. The constants gcPercent and memoryLimit were used by nothing; the heap has its bound from `memory` now.

--- a/cmd/jayloft/agent.go
+++ b/cmd/jayloft/agent.go
@@ -91,17 +91,20 @@
 }
 
 func agentProcess(f config.File, cfg config.Agent, w *platform.Worker, a *io.AgentServer, l log.Interface) *process {
+	memory := processMemory(cfg.Memory, l)
+	io.BoundHeap(memory)
 	p := &process{
 		server: a,
 		bindings: []binding{
-			{cfg.Addr, a.Peers()},
-			{cfg.Metrics, a.Metrics()},
+			{cfg.Addr, a.Peers(), []io.ListenOption{io.WithHTTP2()}},
+			{cfg.Metrics, a.Metrics(), nil},
 		},
 		grace: cfg.Grace,
 		log:   l,
+		guard: io.NewGuard(io.ClientLimits(memory), l, a.Registry()),
 	}
 	if w != nil {
-		p.bindings = append(p.bindings, binding{f.Platform.Heartbeats, w.HeartbeatHandler(a)})
+		p.bindings = append(p.bindings, binding{f.Platform.Heartbeats, w.HeartbeatHandler(a), nil})
 	}
 	return p
 }
--- a/cmd/jayloft/entry.go
+++ b/cmd/jayloft/entry.go
@@ -80,18 +80,22 @@
 const incarnationChars = 10
 
 func entryProcess(f config.File, cfg config.Entry, e *io.EntryServer, l log.Interface) *process {
+	memory := processMemory(cfg.Memory, l)
+	io.BoundHeap(memory)
 	p := &process{
 		server: e,
 		bindings: []binding{
-			{cfg.Peers, e.Peers()},
-			{cfg.Metrics, e.Metrics()},
-			{cfg.Callers, e.Callers()},
+			{cfg.Peers, e.Peers(), []io.ListenOption{io.WithHTTP2()}},
+			{cfg.Metrics, e.Metrics(), nil},
+			{cfg.Callers, e.Callers(), nil},
 		},
 		grace: cfg.Grace,
 		log:   l,
+		guard: io.NewGuard(io.ClientLimits(memory), l, e.Registry()),
 	}
 	if on := f.Platform; on != nil {
-		p.bindings = append(p.bindings, binding{on.Front, platform.JobHandler(e, l)}, binding{on.Ready, platform.ReadinessHandler(e.Metrics())})
+		p.bindings = append(p.bindings,
+			binding{on.Front, platform.JobHandler(e, l), nil}, binding{on.Ready, platform.ReadinessHandler(e.Metrics()), nil})
 	}
 	return p
 }
--- a/cmd/jayloft/process.go
+++ b/cmd/jayloft/process.go
@@ -24,8 +24,6 @@
 const exitGraceExceeded subcommands.ExitStatus = 3
 
 const (
-	gcPercent    = 400      // collect less often, since heaps are small
-	memoryLimit  = 96 << 20 // bytes; near this limit, collections become frequent again
 	startTimeout = 15 * time.Second
 	closeMargin  = 5 * time.Second // after the grace period, to close connections
 )
@@ -71,6 +69,7 @@
 type binding struct {
 	addr    netip.AddrPort
 	handler http.Handler
+	opts    []io.ListenOption
 }
 
 // process binds a server to the lifecycle of an fx application. start opens all
@@ -81,6 +80,7 @@
 	bindings []binding
 	grace    time.Duration
 	log      log.Interface
+	guard    *io.Guard // of all bindings
 
 	listeners []*io.Server
 }
@@ -90,7 +90,7 @@
 		if !s.addr.IsValid() {
 			continue
 		}
-		srv, err := io.Listen(s.addr, s.handler)
+		srv, err := io.Listen(s.addr, s.handler, append(s.opts, io.WithGuard(p.guard))...)
 		if err != nil {
 			return err
 		}
--- a/cmd/jayloft/stand.go
+++ b/cmd/jayloft/stand.go
@@ -18,6 +18,7 @@
 	"jayloft/core"
 	sample "jayloft/examples"
 	"jayloft/internal/unit"
+	"jayloft/io"
 	"jayloft/stand"
 	"jayloft/work"
 )
@@ -125,7 +126,7 @@
 		if err := putFiles(p.Objects, put); err != nil {
 			return nil, err
 		}
-		s.bindings = append(s.bindings, binding{cfg.Platform, p.Handler()})
+		s.bindings = append(s.bindings, binding{cfg.Platform, p.Handler(), []io.ListenOption{io.WithHTTP2()}})
 		store = p.Objects
 	}
 	if len(cfg.Workers) == 0 {
@@ -153,7 +154,7 @@
 			Lag:      usageLag,
 		}, opts...)
 		s.workers = append(s.workers, sw)
-		s.bindings = append(s.bindings, binding{w.Addr, sw.Handler()})
+		s.bindings = append(s.bindings, binding{w.Addr, sw.Handler(), []io.ListenOption{io.WithHTTP2()}})
 	}
 	return s, nil
 }
--- a/config/config.go
+++ b/config/config.go
@@ -56,6 +56,7 @@
 	// use; zero values if they are not known.
 	DC         core.DC
 	Millicores int64
+	Memory     int64 // bytes that the process may use; zero if the settings don't say
 }
 
 // Agent holds the settings of an agent.
@@ -68,6 +69,7 @@
 	VM      netip.AddrPort   // API of the worker
 	Metrics netip.AddrPort   // HTTP listener for metrics; the zero value disables it
 	Grace   time.Duration    // for tasks and requests at a graceful shutdown
+	Memory  int64            // bytes that the process may use; zero if the settings don't say
 }
 
 // Platform holds the settings of a process on a platform that has its own
--- a/config/parse.go
+++ b/config/parse.go
@@ -16,6 +16,12 @@
 	defaultSlots      = 8
 )
 
+const (
+	bytesPerMB = 1_000_000
+	// minMemoryMB is the least memory that a process can do with, in MB.
+	minMemoryMB = 64
+)
+
 // Upper limits of settings. A larger value is taken for a mistake.
 const (
 	maxGrace        = time.Hour
@@ -68,6 +74,7 @@
 
 func (r *reader) entry(t *node) *Entry {
 	e := &Entry{Grace: defaultEntryGrace}
+	var mb int64
 	own := r.root.get("platform") == nil
 	r.readTable(t, "[entry]",
 		field{"name", true, name(&e.Name)},
@@ -79,7 +86,9 @@
 		field{"grace", false, duration(&e.Grace, 0, maxGrace)},
 		field{"dc", false, name(&e.DC)},
 		field{"cores", false, cores(&e.Millicores, 1, maxMillicores)},
+		field{"memory", false, memory(&mb, minMemoryMB, maxMemoryMB)},
 	)
+	e.Memory = mb * bytesPerMB
 	if !e.Objects.IsValid() {
 		e.Objects = e.Table
 	}
@@ -88,6 +97,7 @@
 
 func (r *reader) agent(t *node) *Agent {
 	a := &Agent{Grace: defaultAgentGrace}
+	var mb int64
 	own := r.root.get("platform") == nil
 	r.readTable(t, "[agent]",
 		field{"worker", true, name(&a.Worker)},
@@ -98,7 +108,9 @@
 		field{"vm", own, address(&a.VM, "vm", dial)},
 		field{"metrics", false, address(&a.Metrics, "metrics", listen)},
 		field{"grace", false, duration(&a.Grace, 0, maxGrace)},
+		field{"memory", false, memory(&mb, minMemoryMB, maxMemoryMB)},
 	)
+	a.Memory = mb * bytesPerMB
 	return a
 }
 
--- a/internal/scale/site_test.go
+++ b/internal/scale/site_test.go
@@ -62,7 +62,7 @@
 
 func (s *system) listen(h http.Handler) netip.AddrPort {
 	s.b.Helper()
-	srv, err := io.Listen(loopback, h)
+	srv, err := io.Listen(loopback, h, io.WithHTTP2())
 	assert.NilError(s.b, err)
 	s.b.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/io/agent.go
+++ b/io/agent.go
@@ -1,6 +1,8 @@
 package io
 
 import (
+	"github.com/rcrowley/go-metrics"
+
 	"context"
 	"net/http"
 	"net/netip"
@@ -95,6 +97,9 @@
 // Metrics returns the handler of /metrics and /healthz.
 func (s *AgentServer) Metrics() http.Handler { return s.meter }
 
+// Registry returns the counters and histograms that Metrics serves.
+func (s *AgentServer) Registry() metrics.Registry { return s.meter.registry }
+
 // Peers returns the handler for calls of entries.
 func (s *AgentServer) Peers() http.Handler {
 	mux := http.NewServeMux()
--- a/io/callers.go
+++ b/io/callers.go
@@ -29,9 +29,6 @@
 // MaxBodyBytes bounds the body of a caller's request.
 const MaxBodyBytes = 1 << 20
 
-// bodyTimeout bounds the time for receiving a body.
-const bodyTimeout = 10 * time.Second
-
 // Problem is the JSON body of every response to a request that wasn't done.
 type Problem struct {
 	Outcome  core.Outcome `json:"outcome"`
@@ -109,24 +106,12 @@
 	return nil, false
 }
 
-// readAll reads a body of at most MaxBodyBytes within bodyTimeout.
+// readAll reads a body of at most MaxBodyBytes. Memory is taken as its bytes come.
 func readAll(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	n := r.ContentLength
-	if n == 0 {
+	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	// The timeout is skipped if the connection doesn't support deadlines.
-	rc := http.NewResponseController(w)
-	if rc.SetReadDeadline(time.Now().Add(bodyTimeout)) == nil {
-		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	}
-	in := http.MaxBytesReader(w, r.Body, MaxBodyBytes)
-	if n < 0 || n > MaxBodyBytes {
-		return stdio.ReadAll(in)
-	}
-	b := make([]byte, n)
-	_, err := stdio.ReadFull(in, b)
-	return b, err
+	return stdio.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 }
 
 // writeAnswer writes the response for the final answer to a request.
--- a/io/entry.go
+++ b/io/entry.go
@@ -1,6 +1,8 @@
 package io
 
 import (
+	"github.com/rcrowley/go-metrics"
+
 	"context"
 	"net/http"
 	"time"
@@ -77,6 +79,9 @@
 // Metrics returns the handler of /metrics and /healthz.
 func (s *EntryServer) Metrics() http.Handler { return s.meter }
 
+// Registry returns the counters and histograms that Metrics serves.
+func (s *EntryServer) Registry() metrics.Registry { return s.meter.registry }
+
 // Peers returns the handler for agents, operators and other entries.
 func (s *EntryServer) Peers() http.Handler {
 	mux := http.NewServeMux()
--- a/io/io.go
+++ b/io/io.go
@@ -17,7 +17,7 @@
 // # Usage
 //
 //	e := io.NewEntry(site, io.NewTable(platform), io.WithLog(logger))
-//	srv, err := io.Listen(site.Addr, e.Peers())
+//	srv, err := io.Listen(site.Addr, e.Peers(), io.WithHTTP2())
 //	if err != nil {
 //		return err
 //	}
--- a/io/listen.go
+++ b/io/listen.go
@@ -14,11 +14,15 @@
 const (
 	headerTimeout = 5 * time.Second // for reading a request's header
 	idleTimeout   = 2 * time.Minute // of a connection without requests
-	maxStreams    = 1000            // concurrent requests on one HTTP/2 connection
-	lingerPeriod  = time.Second     // for clients to notice that the server is leaving
+	maxStreams    = 256             // concurrent requests on one HTTP/2 connection, see maxPeerCalls
+	maxHeadBytes  = 16 << 10        // of a request; the library allows 4 KB more
+	// streamWindow and connWindow bound what a client of HTTP/2 may send before it is read.
+	streamWindow = 64 << 10
+	connWindow   = 128 << 10
+	lingerPeriod = time.Second // for clients to notice that the server is leaving
 )
 
-// Server serves HTTP/1 and unencrypted HTTP/2 on one address.
+// Server serves HTTP/1, and unencrypted HTTP/2 if it is asked to, on one address.
 type Server struct {
 	http    *http.Server
 	addr    netip.AddrPort
@@ -26,9 +30,27 @@
 	err     chan error
 }
 
+// ListenOption configures a Server.
+type ListenOption func(*listenOptions)
+
+type listenOptions struct {
+	guard *Guard
+	http2 bool
+}
+
+// WithGuard bounds what the server's clients hold together with those of other servers.
+func WithGuard(g *Guard) ListenOption { return func(o *listenOptions) { o.guard = g } }
+
+// WithHTTP2 serves unencrypted HTTP/2 too, which RPC clients speak.
+func WithHTTP2() ListenOption { return func(o *listenOptions) { o.http2 = true } }
+
 // Listen serves h on addr until Shutdown. Port 0 selects a free port. It returns
 // an error if addr can't be bound.
-func Listen(addr netip.AddrPort, h http.Handler) (*Server, error) {
+func Listen(addr netip.AddrPort, h http.Handler, opts ...ListenOption) (*Server, error) {
+	var cfg listenOptions
+	for _, o := range opts {
+		o(&cfg)
+	}
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -40,18 +62,33 @@
 	s := &Server{addr: bound, err: make(chan error, 1)}
 	var ps http.Protocols
 	ps.SetHTTP1(true)
-	ps.SetUnencryptedHTTP2(true)
+	ps.SetUnencryptedHTTP2(cfg.http2)
 	s.http = &http.Server{
-		Handler:           s.closeWhenLeaving(h),
+		Handler:           s.closeWhenLeaving(guardBodies(h)),
 		Protocols:         &ps,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		MaxHeaderBytes:    maxHeadBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connWindow,
+		},
+	}
+	if cfg.guard != nil {
+		ln = &guardedListener{Listener: ln, guard: cfg.guard, source: cfg.guard.join()}
+		s.http.ConnContext = withConn
+		s.http.ConnState = restWhenIdle
 	}
 	go func() { s.err <- s.http.Serve(ln) }()
 	return s, nil
 }
 
+// restWhenIdle tells the guard of a connection that its requests are answered.
+func restWhenIdle(c net.Conn, state http.ConnState) {
+	if gc, ok := c.(*guardedConn); ok && state == http.StateIdle {
+		gc.rest()
+	}
+}
+
 // closeWhenLeaving asks HTTP/1 clients to close their connections while the
 // server shuts down.
 func (s *Server) closeWhenLeaving(h http.Handler) http.Handler {
--- a/io/path_test.go
+++ b/io/path_test.go
@@ -44,7 +44,7 @@
 
 func (ls *listeners) listen(t testing.TB, h http.Handler) *io.Server {
 	t.Helper()
-	srv, err := io.Listen(loopback, h)
+	srv, err := io.Listen(loopback, h, io.WithHTTP2())
 	assert.NilError(t, err)
 	*ls = append(*ls, srv)
 	return srv
--- a/load/host.go
+++ b/load/host.go
@@ -26,7 +26,7 @@
 	if h != nil {
 		n.serve(h)
 	}
-	srv, err := io.Listen(at, n)
+	srv, err := io.Listen(at, n, io.WithHTTP2())
 	if err != nil {
 		return nil, err
 	}
--- a/stand/stand.go
+++ b/stand/stand.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	platform := stand.NewPlatform()
-//	srv, err := io.Listen(addr, platform.Handler())
+//	srv, err := io.Listen(addr, platform.Handler(), io.WithHTTP2())
 //	...
 //	worker := stand.NewWorker(stand.Spec{
 //		Worker:   "w1",
