interf: estimate unknown pairs from images alike, and bound what is not known

Change: a pair without measurements is estimated from the long-running images that react alike to the other best-effort images; placement and speeds rest on an upper bound, which is the estimate where a pair is known well.

--- a/core/entryinterference.go
+++ b/core/entryinterference.go
@@ -20,7 +20,8 @@
 	e.interference.Observe(string(w.id), window)
 	for _, t := range w.heartbeat.TailLatencies {
 		for _, f := range w.heartbeat.ClassLoads {
-			ans.Interference = append(ans.Interference, ImageInterference{LongRunning: t.Image, BestEffort: f.Class, Interference: e.interference.Interference(t.Image, f.Class)})
+			bound := e.interference.Bound(t.Image, f.Class)
+			ans.Interference = append(ans.Interference, ImageInterference{LongRunning: t.Image, BestEffort: f.Class, Interference: bound})
 		}
 	}
 }
