order: rank jobs by what is left of them

Change: a job ranks by what its result is worth, by its class, for the part of its own work that is undone; large jobs rank like small ones. The time that remains counts running tasks by how long they have run.

--- a/core/entryqueue.go
+++ b/core/entryqueue.go
@@ -90,7 +90,8 @@
 	spec := &j.row.Spec
 	job := order.Job{Priority: spec.Priority}
 	if len(spec.Steps) > 0 {
-		job.Accepted, job.Deadline, job.Remaining = j.row.Accepted, j.row.Deadline(), j.row.remainingTime()
+		job.Accepted, job.Deadline, job.Remaining = j.row.Accepted, j.row.Deadline(), j.remaining(e.at.Now)
+		job.Undone = j.undone()
 	}
 	if spec.hasLongRunning() {
 		job.Accepted = time.Time{} // no deadline: long-running tasks never become worthless
--- a/core/steps.go
+++ b/core/steps.go
@@ -162,17 +162,6 @@
 	return longest
 }
 
-// remainingTime returns the estimated time until the job is done if every remaining
-// step starts as soon as its dependencies are done.
-func (r *JobRow) remainingTime() time.Duration {
-	return r.Spec.criticalPathBy(func(i int) time.Duration {
-		if r.isStepDone(i) {
-			return 0
-		}
-		return r.Spec.Steps[i].Estimate
-	})
-}
-
 // Deadline returns the time by which the job should be done by its objective.
 func (r *JobRow) Deadline() time.Time {
 	stretch := max(r.Spec.Stretch, 1)
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -18,6 +18,7 @@
 	tasks  int
 	actual time.Duration // run time of each task
 	open   int           // tasks that have not ended
+	all    int
 	ended  time.Time
 	value  float64
 	arrive time.Duration
@@ -39,7 +40,7 @@
 		actual := time.Duration((0.4 + 2.4*r.Float64()) * float64(time.Second))
 		declared := time.Duration(float64(actual) * (0.5 + 1.5*r.Float64())) // off by up to a factor of two
 		tasks := 4 + r.IntN(40)
-		j := &burstJob{tasks: tasks, open: tasks, actual: actual, arrive: at}
+		j := &burstJob{tasks: tasks, open: tasks, all: tasks, actual: actual, arrive: at}
 		j.value = 0.3 + 0.7*float64(tasks)*actual.Seconds()/40
 		j.Accepted = time.Unix(0, 0).Add(at)
 		j.Deadline = j.Accepted.Add(time.Second + 2*actual)
@@ -84,6 +85,9 @@
 				waiting = append(waiting, j)
 			}
 		}
+		for _, j := range waiting {
+			j.Undone = float64(j.open) / float64(j.all)
+		}
 		slices.SortStableFunc(waiting, func(a, b *burstJob) int { return rank(now, a.Job).Compare(rank(now, b.Job)) })
 		for _, j := range waiting {
 			for j.tasks > 0 && len(busy) < slots {
@@ -116,3 +120,22 @@
 	assert.Equal(t, j.Class(at.Add(12*time.Second)), order.TooLate)
 	assert.Equal(t, order.Job{}.Class(at), order.InTime)
 }
+
+// Jobs rank by what their result is worth for the work that is left: a job that is nearly done
+// goes before one that has not begun, even if it will be late, and large jobs rank like small ones.
+func TestNearlyDoneGoesFirst(t *testing.T) {
+	at := time.Unix(100, 0)
+	now := at.Add(2 * time.Second)
+	fresh := order.Job{Accepted: at, Deadline: at.Add(9 * time.Second), Remaining: 4 * time.Second, Undone: 1}
+	half := order.Job{Accepted: at, Deadline: at.Add(9 * time.Second), Remaining: 2 * time.Second, Undone: 0.5}
+	late := order.Job{Accepted: at, Deadline: at.Add(3 * time.Second), Remaining: 2 * time.Second, Undone: 1}
+	lateNearlyDone := late
+	lateNearlyDone.Undone = 0.1
+	before := func(a, b order.Job) bool { return order.RankOf(now, a).Compare(order.RankOf(now, b)) < 0 }
+	assert.Assert(t, before(half, fresh))
+	assert.Assert(t, before(fresh, late))
+	assert.Assert(t, before(lateNearlyDone, fresh))
+	urgent := late
+	urgent.Priority = -1
+	assert.Assert(t, before(urgent, lateNearlyDone), "priority goes before all")
+}
