core: call best-effort tasks, interference and impact by their names in logs

Wire fields and the row keep theirs.

Measured: build, linter and the tests of cmd, platform and of these parts of core pass.

--- a/core/agentpace.go
+++ b/core/agentpace.go
@@ -151,8 +151,8 @@
 	if !t.paced || !t.started || t.stopping != "" || pace.FullSpeed-t.throttledBy == percent {
 		return
 	}
-	a.logEvent("filler paced", t.order.Attempt.String(), "percent", percent, "was", pace.FullSpeed-t.throttledBy,
-		"image", t.order.Class, "use", t.utilization, "press", interferenceOf(a.interference, t.order.Class), "tails", a.pace.TailRatios())
+	a.logEvent("speed changed", t.order.Attempt.String(), "percent", percent, "was", pace.FullSpeed-t.throttledBy,
+		"image", t.order.Class, "use", t.utilization, "interference", interferenceOf(a.interference, t.order.Class), "tails", a.pace.TailRatios())
 	t.throttledBy, t.pacedAt = pace.FullSpeed-percent, a.at.Now
 	switch {
 	case percent > slowPercent:
--- a/core/agenttask.go
+++ b/core/agenttask.go
@@ -282,7 +282,7 @@
 	case ev.Started:
 		t.started, a.launchedAt = true, a.at.Now
 		a.logEvent("task started", ev.Attempt.String(), "step", t.order.Step, "index", t.order.Index,
-			"filler", t.order.BestEffort, "target", t.order.Target.String(), "size", t.order.Size.Millicores,
+			"besteffort", t.order.BestEffort, "target", t.order.Target.String(), "size", t.order.Size.Millicores,
 			"image", t.order.Class)
 		a.renewTask(t)
 		a.reportSoon() // an entry may throttle it
--- a/core/entryimpact.go
+++ b/core/entryimpact.go
@@ -60,7 +60,7 @@
 		}
 	}
 	if worst != w.impact.action {
-		e.count("noise", impactReasons[worst])
+		e.count("impact", impactReasons[worst])
 	}
 	w.impact.action, w.impact.class = worst, class
 	e.throttleClaims(w, ans)
@@ -164,7 +164,7 @@
 		}
 		w.impact.evictedAt = e.at.Now
 		j.avoidUntil[w.id] = e.at.Now.Add(evictInterval)
-		e.count("evict", "noise")
+		e.count("evict", "impact")
 		e.orderStop(w, c, EndEvicted, "disturbs a service")
 		return
 	}
--- a/core/entryinterference.go
+++ b/core/entryinterference.go
@@ -68,7 +68,7 @@
 		}
 		rec, err := Decode(r.Key, r.Value)
 		if err != nil {
-			e.logNote("press row passed over", r.Key, err.Error())
+			e.logNote("interference row passed over", r.Key, err.Error())
 			continue
 		}
 		if row, ok := rec.(InterferenceRow); ok {
--- a/core/entrythrottled.go
+++ b/core/entrythrottled.go
@@ -34,7 +34,7 @@
 		c.stopSent = e.at.Now
 		j.avoidUntil[w.id] = e.at.Now.Add(slowedAvoidTime)
 		e.count("evict", "slowed")
-		e.orderStop(w, c, EndEvicted, "hardly runs beside lasting tasks")
+		e.orderStop(w, c, EndEvicted, "hardly runs beside long-running tasks")
 	}
 }
 
