core: take no run that has ended for a straggler

Change: an attempt with a pending edit is no straggler.

Measured: TestEndThatIsNotWrittenIsNoStraggler failed before and passes; TestStragglerIsEvicted is as it was.

--- a/core/entrystraggle.go
+++ b/core/entrystraggle.go
@@ -60,8 +60,8 @@
 // evictStraggler evicts a straggler, which resumes from its checkpoint on another
 // worker.
 func (e *Entry) evictStraggler(w *workerView, j *jobView, c *claim) {
-	if !e.isStraggler(j, c) || e.at.Now.Sub(c.stopSent) < stopInterval {
-		return
+	if !e.isStraggler(j, c) || e.at.Now.Sub(c.stopSent) < stopInterval || j.hasPendingEdit(c.attempt.Task.N) {
+		return // a pending edit says that it has ended already
 	}
 	c.stopSent = e.at.Now
 	j.avoidUntil[w.id] = e.at.Now.Add(stragglerAvoidTime)
