--- a/core/entrycolocate.go
+++ b/core/entrycolocate.go
@@ -51,7 +51,7 @@
 func (e *Entry) addedInterference(w *workerView, image string, size Size) (highest float64, tolerated bool) {
 	tolerated = true
 	for _, t := range w.tailLatencies() {
-		added := e.interference.Bound(t.Image, image) * interf.DefaultWeight * w.cpuFraction(size.Millicores)
+		added := e.interference.Interference(t.Image, image) * interf.DefaultWeight * w.cpuFraction(size.Millicores)
 		bound := maxTailLatency
 		if added <= mildInterference {
 			bound = maxTailLatencyMild
@@ -69,7 +69,7 @@
 	sum := 0.0
 	for _, c := range w.sortedClaims() {
 		if c.holder.Inc == w.inc && c.bestEffort.Millicores > 0 && selected(c) {
-			sum += e.interference.Bound(image, c.class) * interf.DefaultWeight * w.cpuFraction(c.bestEffort.Millicores)
+			sum += e.interference.Interference(image, c.class) * interf.DefaultWeight * w.cpuFraction(c.bestEffort.Millicores)
 		}
 	}
 	return sum
--- a/core/entryinterference.go
+++ b/core/entryinterference.go
@@ -20,8 +20,7 @@
 	e.interference.Observe(string(w.id), window)
 	for _, t := range w.heartbeat.TailLatencies {
 		for _, f := range w.heartbeat.ClassLoads {
-			bound := e.interference.Bound(t.Image, f.Class)
-			ans.Interference = append(ans.Interference, ImageInterference{LongRunning: t.Image, BestEffort: f.Class, Interference: bound})
+			ans.Interference = append(ans.Interference, ImageInterference{LongRunning: t.Image, BestEffort: f.Class, Interference: e.interference.Interference(t.Image, f.Class)})
 		}
 	}
 }
--- a/interf/interf.go
+++ b/interf/interf.go
@@ -18,12 +18,6 @@
 // leaves CPU time unused interferes far less than one that uses all it is granted;
 // see [Weight].
 //
-// Long-running images that react alike to the best-effort images measured so far, as they need
-// the same part of the machine, are likely to react alike to the others: a pair without
-// measurements is estimated from such neighbours, see [Learner.Bound]. What is not known yet has
-// a wide distribution, and a decision that must not harm long-running tasks rests on its upper
-// part.
-//
 // Tail latencies are given as ratios to their target.
 //
 // # Usage
@@ -36,7 +30,7 @@
 //		},
 //		Loads: []interf.Load{{Image: "import", Share: 0.3 * interf.Weight(0.9)}},
 //	})
-//	added := l.Bound("api", "import") * 0.1 // by imports on a tenth of the VM
+//	added := l.Interference("api", "import") * 0.1 // by imports on a tenth of the VM
 //	if interf.Utilization(0.6)+added > interf.Utilization(1) {
 //		// the target would be missed
 //	}
@@ -63,8 +57,6 @@
 	priorVariance = 1.5
 	// maxInterference limits the effect of single outliers on an estimate.
 	maxInterference = 12
-	// knownDeviation is the standard deviation up to which a pair counts as known.
-	knownDeviation = 0.25
 	// varianceDrift is added to a pair's variance with each measurement, so that
 	// the estimate follows changes in the interference.
 	varianceDrift = 0.001
@@ -155,7 +147,6 @@
 // and returns the prior for every pair.
 type Learner struct {
 	models map[string]*model // by long-running image
-	names  []string          // the keys of models, in the order in which they were added
 	last   map[string]Window // by VM
 }
 
@@ -218,7 +209,6 @@
 	if m == nil {
 		m = &model{indexes: map[string]int{}}
 		l.models[longRunning] = m
-		l.names = append(l.names, longRunning)
 	}
 	return m
 }
@@ -230,17 +220,18 @@
 	return min(max(mean, 0), maxInterference)
 }
 
-// Bound returns an upper bound of the interference that Interference estimates: the better a pair
-// is known, the closer it is to the estimate.
-func (l *Learner) Bound(longRunning, bestEffort string) float64 {
-	return bound(l.estimate(longRunning, bestEffort))
-}
-
-// PriorBound returns the bound of a pair of which nothing is known.
-func PriorBound() float64 { return bound(priorMean, priorVariance) }
-
-func bound(mean, variance float64) float64 {
-	return min(max(mean, 0)+max(math.Sqrt(variance)-knownDeviation, 0), maxInterference)
+// estimate returns the mean and the variance for a pair, those of the prior if there
+// were no measurements.
+func (l *Learner) estimate(longRunning, bestEffort string) (mean, variance float64) {
+	m := l.models[longRunning]
+	if m == nil {
+		return priorMean, priorVariance
+	}
+	i, ok := m.indexes[bestEffort]
+	if !ok {
+		return priorMean, priorVariance
+	}
+	return m.mean[i], m.cov[i][i]
 }
 
 // Pair is the estimate for one pair of images, as it is stored.
@@ -275,7 +266,7 @@
 		if math.IsNaN(p.Interference) {
 			continue
 		}
-		if _, current := l.measured(p.LongRunning, p.BestEffort); p.Variance > 0 && p.Variance < current {
+		if _, current := l.estimate(p.LongRunning, p.BestEffort); p.Variance > 0 && p.Variance < current {
 			l.model(p.LongRunning).restore(p.BestEffort, p.Interference, p.Variance)
 		}
 	}
--- a/interf/model.go
+++ b/interf/model.go
@@ -4,7 +4,6 @@
 // over all best-effort images.
 type model struct {
 	indexes map[string]int // of best-effort images in mean and cov
-	images  []string       // by index
 	mean    []float64
 	cov     [][]float64
 }
@@ -21,7 +20,6 @@
 		return 0, false
 	}
 	m.indexes[image] = i
-	m.images = append(m.images, image)
 	m.mean = append(m.mean, priorMean)
 	for j := range m.cov {
 		m.cov[j] = append(m.cov[j], 0)
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -53,6 +53,8 @@
 	// fall.
 	stopAfter    = 1500 * time.Millisecond
 	stopAllAfter = 2 * time.Second
+	// priorInterference is assumed for pairs of images without an estimate.
+	priorInterference = 1.0
 )
 
 // FullSpeed is full speed, in percent.
@@ -75,7 +77,7 @@
 func (l *Load) interference(longRunning string) float64 {
 	p, ok := l.Interference[longRunning]
 	if !ok {
-		p = interf.PriorBound()
+		p = priorInterference
 	}
 	return p * interf.Weight(l.Utilization)
 }
