io: close connections whose body stops at its deadline

Cause: a body that was not whole within 10 s ended with an error, upon which its deadline was lifted and its request counted as whole. Change: only the end of a body lifts the deadline and makes a request whole. An unread rest leaves the connection one that sends, until the server closes it.

--- a/io/guard.go
+++ b/io/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	stdio "io"
 	"net"
 	"net/http"
@@ -235,20 +236,17 @@
 		b.bytes += int64(n)
 		b.conn.guard.do(func(now time.Time) []*guard.Conn { return b.conn.guard.guard.Take(now, b.conn.state, int64(n)) })
 	}
-	if err != nil && b.reading {
+	if errors.Is(err, stdio.EOF) && b.reading {
 		b.reading = false
 		_ = b.rc.SetReadDeadline(time.Time{})
 		b.conn.whole()
 	}
-	return n, err
+	return n, err // after any other error the deadline stands, as the server reads what is left
 }
 
 // end records that the request is answered.
 func (b *guardedBody) end() {
-	if b.reading {
-		b.conn.whole()
-	}
-	b.conn.answered(b.bytes)
+	b.conn.answered(b.bytes, b.reading)
 }
 
 // begin records that the head of a request has come, and whether a body follows.
@@ -262,7 +260,7 @@
 	c.updatePhase()
 }
 
-// whole records that a body has come whole, or will not be read.
+// whole records that a body has come whole.
 func (c *guardedConn) whole() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -270,11 +268,18 @@
 	c.updatePhase()
 }
 
-// answered records that a request whose body counted for n bytes is answered.
-func (c *guardedConn) answered(n int64) {
+// answered records that a request whose body counted for n bytes is answered, and whether a part
+// of the body was not read. The connection of HTTP/1 then still counts as one that sends.
+func (c *guardedConn) answered(n int64, unread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active--
+	if unread {
+		c.readers--
+	}
+	if unread && c.http2 {
+		c.updatePhase()
+	}
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.guard.guard.Give(c.state, n)
