--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,9 +20,10 @@
 
 // cases play a case and return what breaks its rule, one line each.
 var cases = map[string]func(s *site, trouble bool) ([]string, error){
-	"ends":  playEnds,
-	"stops": playStops,
-	"gone":  playGone,
+	"ends":    playEnds,
+	"stops":   playStops,
+	"gone":    playGone,
+	"removed": playRemoved,
 }
 
 func main() {
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -60,24 +60,27 @@
 	cpu    int64
 	record *recorder
 
-	mu       sync.Mutex
-	born     time.Time
-	ping     uint64
-	token    uint64
-	deadline time.Time // of the lease; zero before the first
-	runs     []*run    // all that ever began here
-	live     map[string]*run
-	highest  map[string]uint32 // highest run that was stopped or has ended, by task
-	ends     []*run            // not forgotten yet
-	nextEnd  uint64
-	returned uint64 // highest number of an end that was returned
-	stops    []stopOrder
-	pingedAt time.Time
-	changed  chan struct{} // closed at the next end
-	dieAt    string        // the worker dies as it is told to start a task with this prefix
-	dead     bool
-	server   *http.Server
-	cancel   context.CancelFunc
+	mu        sync.Mutex
+	born      time.Time
+	ping      uint64
+	token     uint64
+	deadline  time.Time // of the lease; zero before the first
+	runs      []*run    // all that ever began here
+	live      map[string]*run
+	highest   map[string]uint32 // highest run that was stopped or has ended, by task
+	ends      []*run            // not forgotten yet
+	nextEnd   uint64
+	returned  uint64 // highest number of an end that was returned
+	stops     []stopOrder
+	pingedAt  time.Time
+	changed   chan struct{} // closed at the next end
+	dieAt     string        // the worker dies as it is told to start a task with this prefix
+	dead      bool
+	lateUntil time.Time // until then orders are carried out late
+	lateCalls int
+	calls     int
+	server    *http.Server
+	cancel    context.CancelFunc
 }
 
 func newWorker(n int, zone, ip string, cpu int64, rec *recorder) *worker {
@@ -98,7 +101,7 @@
 	mux.HandleFunc("POST /run-stop", w.handleStop)
 	mux.HandleFunc("POST /hold", w.handleHold)
 	mux.HandleFunc("POST /pace", w.handlePace)
-	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	w.server = &http.Server{Handler: w.delayed(mux), ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
 	go func() { _ = w.server.Serve(l) }()
