Review: case 11 with jobs no wider than the site's

The jobs of 125 tasks were wider than those of the site (36 at most), and all ended within some 60 ms. They are 42 jobs of 36 tasks now, whose ends are spread over 0.9 s while the agent is away.

--- a/review/standin3/ends.go
+++ b/review/standin3/ends.go
@@ -7,9 +7,10 @@
 
 // Amounts of the case "ends".
 const (
-	endsJobs  = 12
-	endsTasks = 125                    // of each job
-	endsGap   = 250 * time.Millisecond // between two jobs
+	endsJobs  = 42
+	endsTasks = 36                    // of each job, the widest of the site
+	endsGap   = 70 * time.Millisecond // between two jobs
+	endsStep  = 20 * time.Millisecond // between the ends of two jobs
 	endsAfter = 6*time.Second + 200*time.Millisecond
 	downTime  = time.Second // of the agent's process
 
@@ -54,7 +55,7 @@
 	s.awaitPing(0)
 	end := time.Now().Add(endsAfter)
 	for i := range endsJobs {
-		left := time.Until(end).Round(time.Millisecond)
+		left := (time.Until(end) + time.Duration(i)*endsStep).Round(time.Millisecond)
 		step := map[string]any{"count": endsTasks, "cpu": 10, "mem_mb": 10, "estimated_ms": left.Milliseconds(), "required_labels": s.workers[0].kind}
 		if !s.submit(fmt.Sprintf("5c0e7a21d94b36%02x", i), left.String(), step) {
 			return false
